--- a/src/choice.rs
+++ b/src/choice.rs
@@ -225,8 +225,6 @@
         }
         let over = self.over_share(tenant);
         let admit = if over > 0.0 && self.draw() < over { self.over_admit } else { admit };
-        *self.dbg.entry("arr").or_default() += 1;
-        if past { *self.dbg.entry("past").or_default() += 1; }
         if past || (admit < 1.0 && self.draw() >= admit) {
             self.end(arrival.request, self.settings.limits.retry_after, actions);
             return;
@@ -336,7 +334,6 @@
             return;
         };
         attempt.outcome = Some(settled.outcome);
-        *self.dbg.entry(match settled.outcome { Outcome::Served => "OK", Outcome::Error => "err", Outcome::Spoilt => "spoilt", Outcome::Full => "full", Outcome::TimedOut => "t/o", Outcome::ConnectFailed => "conn", Outcome::Reset => "reset", Outcome::Cancelled => "canc", Outcome::Moot => "moot" }).or_default() += 1;
         let (to, load, zone) = (attempt.backend, attempt.load, attempt.zone);
         let open = request.phase != Phase::Ended;
         let view = self.zones.get_mut(zone.0 as usize);
@@ -400,19 +397,6 @@
         self.refresh_at = self.now + REFRESH + (self.draw() * REFRESH as f64 * 0.1) as Nanos;
         self.value_classes();
         self.measure_capacity();
-        if self.now >= self.dbg_at {
-            self.dbg_at = self.now + SECOND / 2;
-            let mut t = format!("DBG {:?}", self.dbg);
-            self.dbg = Default::default();
-            for c in &self.classes {
-                t += &format!(" | base {:.0}us room {:.2} n {:.0} ask {:.0} srv {:.0}", c.base / 1e3, c.room, c.samples, c.asked.now(self.now), c.served.now(self.now));
-            }
-            t += &format!(" held {} tok {:.1} home {}", self.held.len(), self.retry_tokens, self.settings.home.0);
-            for (id, b) in &self.backends {
-                t += &format!(" [{} z{} k{} f{} s{:.2} r{:.2} F{:.2} u{:.2} {}{}]", id.0, b.member.zone.0, b.member.kind, b.in_flight, b.slowness(self.now, &self.settings.rules), b.ramp(self.now, &self.settings.rules), b.failing.value, b.util.value, if self.usable(b) { "" } else { "X" }, match b.member.stage { Stage::InService => "", Stage::Draining => "D", Stage::Gone => "G" });
-            }
-            actions.push(Action::Log(t));
-        }
         for zone in &mut self.zones {
             // Forgotten slowly, so that a link that has become slow shows.
             zone.least_elapsed = zone.least_elapsed.map(|least| least * 1.002);
@@ -717,7 +701,6 @@
         }
         if let Some(request) = self.requests.get_mut(&id).filter(|r| r.phase == Phase::Open) {
             request.phase = Phase::Held;
-            *self.dbg.entry("hold").or_default() += 1;
             self.held.push(id);
         }
     }
@@ -750,7 +733,6 @@
         };
         let is_late = |id: &RequestId| self.requests.get(id).is_some_and(late);
         for id in self.held.iter().copied().filter(is_late).collect::<Vec<_>>() {
-            *self.dbg.entry("expire").or_default() += 1;
             self.end(id, self.settings.limits.retry_after, actions);
         }
     }
@@ -771,9 +753,6 @@
         let unseen = request.attempts.len() == 1 && !request.attempts[0].may_have_run();
         let again = (self.retry_tokens >= 1.0 || (unseen && self.many())) && !late;
         let pause = if late { self.settings.limits.retry_after } else { 0 };
-        if late { *self.dbg.entry("retrylate").or_default() += 1; }
-        if !again { *self.dbg.entry("noagain").or_default() += 1; }
-        *self.dbg.entry("retry").or_default() += 1;
         if !again || !self.backends.values().any(|backend| self.permits(request, backend)) {
             self.end(id, pause, actions);
             return;
--- a/src/state.rs
+++ b/src/state.rs
@@ -227,8 +227,6 @@
     pub(crate) retry_tokens: f64,
     pub(crate) ask_at: Option<Nanos>,
     pub(crate) ask_failures: u32,
-    pub(crate) dbg: BTreeMap<&'static str, u32>,
-    pub(crate) dbg_at: Nanos,
     pub(crate) log_at: Nanos,
     pub(crate) armed: Option<Nanos>,
     /// The largest live weight of each kind so far: the size of an idle one.
@@ -269,7 +267,7 @@
             retry_tokens: 1.0,
             ask_at: None,
             ask_failures: 0,
-            log_at: 0, dbg: BTreeMap::new(), dbg_at: 0,
+            log_at: 0,
             armed: None,
             kind_size: BTreeMap::new(),
             listed_at: None,
