Expect a fixed part in every answer's time, whatever the load

Most of an answer's time here is spent waiting on others (190 to 360 ms of 350 to 450), which load does not lengthen. The module took the whole time to be in step with the load.

The expected time now has an idle part for each class and a part for each request, both learned; a backend is compared against that.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -39,7 +39,10 @@
 /// Weight of a sample above the base time against one below it.
 pub(crate) const BASE_RISE: f64 = 0.4;
 /// Load of an idle backend in the expected delay, in own requests; small, as others' load grows with own.
-const IDLE_LOAD: f64 = 0.7;
+pub(crate) const IDLE_LOAD: f64 = 0.7;
+/// Part of the time for each request that a refresh forgets while requests wait and no answer tells of it:
+/// held on to, one that is too long would leave no backend a load that could prove it wrong.
+const BASE_FORGET: f64 = 0.02;
 /// One observation counts at most this many times the expectation: single expensive requests are chance.
 pub(crate) const SLOW_CLAMP: f64 = 6.0;
 /// Spread of the pick's jitter, so that nodes with the same view do not herd.
@@ -183,7 +186,7 @@
     fn arrive(&mut self, arrival: Arrival, actions: &mut Vec<Action>) {
         let class = (arrival.class.0 as usize).min(self.classes.len() - 1);
         let view = &mut self.classes[class];
-        let cost = arrival.hint.map_or(view.base * IDLE_LOAD, |hint| hint as f64).max(1.0);
+        let cost = arrival.hint.map_or(view.idle, |hint| hint as f64).max(1.0);
         view.cost += (cost - view.cost) * if view.cost > 0.0 { COST_SMOOTHING } else { 1.0 };
         // A try well shorter than others ends with the client's deadline: that tells when its first try came,
         // and the aim counts from then. Arrivals jitter, so a little shorter is no sign. Where repeats
@@ -340,7 +343,7 @@
         view.into_iter().for_each(|view| view.count_own(self.now, -1.0, UTIL_SMOOTHING));
         self.learn(to, class, cost, load, &settled);
         // A client with little time ends an attempt early: that is no fault of the backend's.
-        let early = (settled.elapsed as f64) < OVERDUE * self.classes[class].base;
+        let early = (settled.elapsed as f64) < OVERDUE * self.delay(class, 1.0);
         if settled.outcome != Outcome::TimedOut || !early {
             self.judge(to, settled.outcome, actions);
         }
@@ -395,6 +398,9 @@
             return;
         }
         self.refresh_at = self.now + REFRESH + (self.draw() * REFRESH as f64 * 0.1) as Nanos;
+        if !std::mem::take(&mut self.base_fed) && !self.held.is_empty() {
+            self.base *= 1.0 - BASE_FORGET;
+        }
         self.value_classes();
         self.measure_capacity();
         for zone in &mut self.zones {
@@ -449,13 +455,13 @@
         let best = best.map(|zone| self.zones[zone.0 as usize].held);
         // Load at which the mean unit of worth would still be answered in time.
         let (mut worth, mut fitting) = (1e-9, 0.0);
-        for (view, class) in self.classes.iter().zip(&self.settings.classes) {
-            let weight = view.asked.now(self.now) * class.worth;
+        for (number, class) in self.settings.classes.iter().enumerate() {
+            let weight = self.classes[number].asked.now(self.now) * class.worth;
             worth += weight;
-            fitting += weight * class.aim as f64 / view.base.max(1.0);
+            fitting += weight * self.load_within(number, ROOM * class.aim as f64);
         }
         // Not under the threshold, where home serves all; one node's own times are few, hence the bounds.
-        let room = (ROOM * fitting / worth - IDLE_LOAD).clamp(wanted, 1.5 * wanted);
+        let room = (fitting / worth - IDLE_LOAD).clamp(wanted, 1.5 * wanted);
         let view = &mut self.zones[home.0 as usize];
         // A crossing has its price: the other zone must hold less by one request a core at least.
         let spilling = view.held - best.map_or(f64::INFINITY, |best| (best + 1.0).max(wanted));
@@ -571,7 +577,8 @@
                 continue;
             }
             let slowness = backend.slowness(self.now, &self.settings.rules);
-            let delay = slowness * backend.load(self.crowd()) * failing * (1.0 + JITTER * chance);
+            let delay = slowness * self.delay(request.class, backend.load(self.crowd()));
+            let delay = delay * failing * (1.0 + JITTER * chance);
             if best.is_none_or(|(least, _)| delay < least) {
                 best = Some((delay, to));
             }
@@ -681,7 +688,7 @@
         let end = if late { request.not_after } else { request.aim_end };
         let left = end.saturating_sub(self.now) as f64;
         let slowness = backend.slowness(self.now, &self.settings.rules);
-        let stretch = slowness * backend.load(self.crowd());
+        let load = backend.load(self.crowd());
         let view = &self.classes[request.class];
         // With many nodes, all would pile onto the few backends that a late figure shows as free.
         let idle = backend.in_flight == 0 && (slowness < IDLE_SLOW || self.many());
@@ -690,7 +697,8 @@
         let idle = idle || (roomy && !self.many() && f64::from(backend.in_flight) < backend.size());
         // A repeat that waits for more room than this will be late: nothing is saved by it.
         let share = if request.attempts.is_empty() { ADMIT } else { ADMIT_AGAIN };
-        idle || stretch <= view.room.min(share * left / view.base)
+        let fits = load <= self.load_within(request.class, share * left / slowness);
+        idle || (fits && slowness * load <= view.room)
     }
 
     fn dispatch(&mut self, id: RequestId, actions: &mut Vec<Action>) {
@@ -724,7 +732,7 @@
     fn expire(&mut self, actions: &mut Vec<Action>) {
         let tick = self.tick();
         let late = |request: &Request| {
-            let least = (self.classes[request.class].base * IDLE_LOAD * 0.5) as Nanos + tick;
+            let least = (self.delay(request.class, IDLE_LOAD) * 0.5) as Nanos + tick;
             let unsent = |a: &Attempt| matches!(a.outcome, Some(Outcome::ConnectFailed | Outcome::Moot));
             let end = if request.attempts.iter().all(unsent) { request.half } else { request.not_after };
             request.phase == Phase::Held
@@ -775,15 +783,14 @@
             if part(rate) <= worst {
                 value += goal / rate.0.max(1e-9);
             }
-            view.value = if self.settings.worth_by_work { value } else { value / view.base.max(1.0) };
+            view.value = if self.settings.worth_by_work { value } else { value / view.idle.max(1.0) };
         }
         // A worthy class with a tight aim would find all room taken by lesser ones with a wide aim.
         let mut room = f64::INFINITY;
         for class in self.by_value().into_iter().filter(|&class| rates[class].0 > 0.1) {
             let aim = self.settings.classes[class].aim as f64;
-            let view = &mut self.classes[class];
-            room = (room * PRECEDENCE).min(ADMIT * aim / view.base.max(1.0));
-            view.room = room;
+            room = (room * PRECEDENCE).min(self.load_within(class, ADMIT * aim));
+            self.classes[class].room = room;
         }
     }
 
--- a/src/state.rs
+++ b/src/state.rs
@@ -5,8 +5,8 @@
 
 use crate::api::*;
 use crate::choice::{
-    BASE_FIRST, BASE_RISE, BASE_SAMPLES, CAPACITY_FALL, CAPACITY_RISE, SLOW_CLAMP, SLOW_SMOOTHING, UTIL_MOST,
-    UTIL_SMOOTHING, UTIL_TRUST,
+    BASE_FIRST, BASE_RISE, BASE_SAMPLES, CAPACITY_FALL, CAPACITY_RISE, IDLE_LOAD, SLOW_CLAMP, SLOW_SMOOTHING,
+    UTIL_MOST, UTIL_SMOOTHING, UTIL_TRUST,
 };
 
 pub(crate) const SECOND: Nanos = 1_000_000_000;
@@ -178,9 +178,11 @@
 /// A class as this node sees it.
 #[derive(Clone, Copy, Default)]
 pub(crate) struct ClassView {
-    pub(crate) base: f64,
-    pub(crate) cost: f64,
+    /// Time of an answer from an idle backend: its work, and what it waits for elsewhere. Load adds nothing
+    /// to the latter.
+    pub(crate) idle: f64,
     pub(crate) samples: f64,
+    pub(crate) cost: f64,
     pub(crate) asked: Rate,
     pub(crate) served: Rate,
     pub(crate) value: f64,
@@ -218,6 +220,11 @@
     pub(crate) backends: BTreeMap<BackendId, Backend>,
     pub(crate) zones: Vec<Zone>,
     pub(crate) classes: Vec<ClassView>,
+    /// Time that each request of a backend's load adds to an answer, where its cores are the bottleneck.
+    pub(crate) base: f64,
+    pub(crate) samples: f64,
+    /// Whether an answer has told of the latter since the last refresh.
+    pub(crate) base_fed: bool,
     /// Requests of each tenant, and the share of those over their shares that is taken.
     pub(crate) tenants: Vec<Rate>,
     pub(crate) over_admit: f64,
@@ -242,11 +249,13 @@
         settings.validate()?;
         let zones = vec![Zone { taken: 1.0, ..Zone::default() }; settings.zones as usize];
         let view = |class: &ClassSettings| ClassView {
-            base: class.aim as f64 / 16.0,
+            idle: class.aim as f64 / 16.0 * IDLE_LOAD,
             room: f64::INFINITY,
             admit: 1.0,
             ..Default::default()
         };
+        let least =
+            settings.classes.iter().map(|class| class.aim as f64 / 16.0).fold(f64::INFINITY, f64::min);
         let classes = settings.classes.iter().map(view).collect();
         let tenants = vec![Rate::default(); settings.tenants.len()];
         Ok(Self {
@@ -261,6 +270,9 @@
             backends: BTreeMap::new(),
             zones,
             classes,
+            base: least,
+            samples: 0.0,
+            base_fed: false,
             overflow: Vec::new(),
             qualified: 0,
             refresh_at: now,
@@ -334,24 +346,55 @@
         }
     }
 
+    /// Expected time of an answer at this load, from a backend of the usual speed: flat as long as cores are
+    /// free, then in step with the load.
+    pub(crate) fn delay(&self, class: usize, load: f64) -> f64 {
+        self.classes[class].idle.hypot(self.base * load)
+    }
+
+    /// The load at which an answer takes this time.
+    pub(crate) fn load_within(&self, class: usize, time: f64) -> f64 {
+        let idle = self.classes[class].idle;
+        (time * time - idle * idle).max(0.0).sqrt() / self.base.max(1.0)
+    }
+
+    /// Corrects the class's idle time and the time for each request, each by its part in what was expected;
+    /// `ratio` is the sample's time against that. Whether the larger part was well known before.
+    fn learn_times(&mut self, class: usize, load: f64, ratio: f64) -> bool {
+        let queued = self.base * load / self.delay(class, load).max(1.0);
+        // What found its backend idle waited for nobody.
+        let queued = if load > 1.0 { queued * queued } else { 0.0 };
+        self.base_fed |= queued > 0.0;
+        let view = &mut self.classes[class];
+        let known = if queued > 0.5 { self.samples } else { view.samples } >= BASE_FIRST;
+        let parts = [(&mut self.base, &mut self.samples, queued)];
+        for (time, samples, part) in
+            parts.into_iter().chain([(&mut view.idle, &mut view.samples, 1.0 - queued)])
+        {
+            *samples = (*samples + part).min(BASE_SAMPLES);
+            // Rises slowly, so that a jam does not come to pass for the normal state.
+            let weight = if ratio > 1.0 && *samples > 50.0 { BASE_RISE } else { 1.0 };
+            *time *= 1.0 + (ratio.min(SLOW_CLAMP) - 1.0) * part * weight / (*samples + 4.0);
+        }
+        known
+    }
+
     /// Learns slowness, base time and served rate from one outcome.
     pub(crate) fn learn(&mut self, id: BackendId, class: usize, cost: f64, load: f64, settled: &Settlement) {
+        let ratio = settled.elapsed as f64 / self.delay(class, load).max(1.0);
+        let served = settled.outcome == Outcome::Served;
         let Some(backend) = self.backends.get_mut(&id) else { return };
         backend.in_flight = backend.in_flight.saturating_sub(1);
-        let view = &mut self.classes[class];
-        let unit = settled.elapsed as f64 / load;
-        let slow = (unit / view.base.max(1.0)).min(SLOW_CLAMP * backend.slow.value.max(1.0));
+        // Against a time that is not known yet every backend would look slow, for seconds.
+        let known = served && self.learn_times(class, load, ratio);
+        let Some(backend) = self.backends.get_mut(&id) else { return };
+        let slow = ratio.min(SLOW_CLAMP * backend.slow.value.max(1.0));
         match settled.outcome {
             Outcome::Served => {
-                // Against a base time that is not known yet every backend would look slow, for seconds.
-                if view.samples >= BASE_FIRST {
+                if known {
                     backend.slow.feed(self.now, slow, SLOW_SMOOTHING, 0.1);
                 }
                 backend.served.add(self.now, cost);
-                view.samples = (view.samples + 1.0).min(BASE_SAMPLES);
-                // Rises slowly, so that a jam does not come to pass for the normal state.
-                let weight = if unit > view.base && view.samples > 50.0 { BASE_RISE } else { 1.0 };
-                view.base += (unit.min(SLOW_CLAMP * view.base) - view.base) * weight / (view.samples + 4.0);
                 if let Some(zone) = self.zones.get_mut(backend.member.zone.0 as usize) {
                     let elapsed = settled.elapsed as f64;
                     zone.least_elapsed = Some(zone.least_elapsed.map_or(elapsed, |least| least.min(elapsed)));
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -151,3 +151,46 @@
 pub fn failed(actions: &[Action]) -> bool {
     actions.iter().any(|action| matches!(action, Action::Fail { .. }))
 }
+
+/// A backend whose answers take `idle` while cores are free, and `each` for every request on it beyond that.
+pub struct Queue {
+    pub idle: Nanos,
+    pub each: Nanos,
+    open: Vec<(RequestId, Nanos, Nanos)>,
+}
+
+impl Queue {
+    pub fn new(idle: Nanos, each: Nanos) -> Self {
+        Self { idle, each, open: Vec::new() }
+    }
+
+    /// Asks once in `gap` for `span`; tells the most requests that were on the backend together.
+    pub fn run(&mut self, node: &mut Node, gap: Nanos, span: Nanos, wait: Nanos) -> usize {
+        let (end, mut next, mut most) = (node.now + span, node.now, 0);
+        while node.now < end {
+            let mut actions = node.pass(5 * MS);
+            if node.now >= next {
+                next += gap;
+                actions.extend(node.ask(wait).1);
+            }
+            self.take(node.now, &actions);
+            most = most.max(self.open.len());
+            while let Some(at) = self.open.iter().position(|(_, _, due)| *due <= node.now) {
+                let (request, sent, _) = self.open.remove(at);
+                let elapsed = node.now - sent;
+                let actions = node.settle_after(request, 0, Outcome::Served, elapsed, Report::default());
+                self.take(node.now, &actions);
+            }
+        }
+        most
+    }
+
+    fn take(&mut self, now: Nanos, actions: &[Action]) {
+        for action in actions {
+            if let Action::Send { request, .. } = action {
+                let takes = self.idle.max(self.each * (self.open.len() as u64 + 1));
+                self.open.push((*request, now, now + takes));
+            }
+        }
+    }
+}
--- a/tests/troubles.rs
+++ b/tests/troubles.rs
@@ -290,3 +290,28 @@
         node.now += 50 * MS;
     }
 }
+
+/// Incident sev5594: most of an answer's time is spent waiting elsewhere. Set against the load alone, every
+/// backend that had little to do looked ten times slow, got one request at a time, and so went on looking slow.
+#[test]
+fn a_backend_with_little_to_do_does_not_look_slow() {
+    let mut node = Node::new(settings(Effect::Repeatable), fleet(1));
+    let mut queue = Queue::new(150 * MS, 10 * MS);
+    let busy = queue.run(&mut node, 20 * MS, 10 * SECOND, SECOND);
+    queue.run(&mut node, 200 * MS, 10 * SECOND, SECOND);
+    let again = queue.run(&mut node, 20 * MS, SECOND, SECOND);
+    assert!(busy >= 7 && again >= 7, "{busy} at once, after a lull {again}");
+}
+
+/// Guards the learning against its own bounds: a time for each request that is far too long leaves no backend
+/// the load that would prove it wrong.
+#[test]
+fn a_time_for_each_request_that_no_answer_confirms_is_forgotten() {
+    let mut node = Node::new(settings(Effect::Repeatable), fleet(1));
+    let mut queue = Queue::new(150 * MS, 120 * MS);
+    queue.run(&mut node, 20 * MS, 20 * SECOND, SECOND);
+    queue.each = 10 * MS;
+    queue.run(&mut node, 20 * MS, 10 * SECOND, SECOND);
+    let most = queue.run(&mut node, 20 * MS, 5 * SECOND, SECOND);
+    assert!(most >= 7, "{most} at once");
+}
