--- a/src/choice.rs
+++ b/src/choice.rs
@@ -696,14 +696,19 @@
         // Where there is room by its own report, a client with little time takes it from nobody.
         let roomy = backend.util.younger_than(self.now, UTIL_TRUST) && backend.util.value < ROOMY;
         let idle = idle || (roomy && !self.many() && f64::from(backend.in_flight) < backend.size());
-        // A repeat that waits for more room than this will be late: nothing is saved by it.
-        let share = if request.attempts.is_empty() { ADMIT } else { ADMIT_AGAIN };
+        let share = self.share(request);
         let fits = load <= self.load_within(request.class, share * left / slowness);
         // A cold one's budget is its bound: what it lacks yet is no sign of a crowd.
         let crowd = slowness * backend.ramp(self.now, &self.settings.rules) * load;
         idle || (fits && crowd <= view.room)
     }
 
+    /// Share of the time left that a send's expected delay may take.
+    fn share(&self, request: &Request) -> f64 {
+        // A repeat that waits for more room than this will be late: nothing is saved by it.
+        if request.attempts.is_empty() { ADMIT } else { ADMIT_AGAIN }
+    }
+
     fn dispatch(&mut self, id: RequestId, actions: &mut Vec<Action>) {
         if let Some(to) = self.choose(id)
             && self.send(id, to, actions)
@@ -731,11 +736,13 @@
         }
     }
 
-    /// Ends what can no longer be answered in time, or was never sent, while a refusal is still early.
+    /// Ends at once what no backend would be sent any more, as it could not answer in time; and what was
+    /// never sent, while a refusal is still early.
     fn expire(&mut self, actions: &mut Vec<Action>) {
         let tick = self.tick();
         let late = |request: &Request| {
-            let least = (self.delay(request.class, IDLE_LOAD) * 0.5) as Nanos + tick;
+            let share = self.share(request);
+            let least = (self.delay(request.class, IDLE_LOAD) / share) as Nanos + tick;
             let unsent = |a: &Attempt| matches!(a.outcome, Some(Outcome::ConnectFailed | Outcome::Moot));
             let end = if request.attempts.iter().all(unsent) { request.half } else { request.not_after };
             request.phase == Phase::Held
--- a/tests/troubles.rs
+++ b/tests/troubles.rs
@@ -315,3 +315,19 @@
     let most = queue.run(&mut node, 10 * MS, 10 * SECOND, 8 * SECOND);
     assert!((4..=30).contains(&most), "{most} at once");
 }
+
+/// Held requests were kept for most of their aim though no backend would have been sent them any more.
+#[test]
+fn what_no_backend_would_be_sent_any_more_is_refused_at_once() {
+    let mut node = Node::new(settings(Effect::Repeatable), fleet(1));
+    Queue::new(120 * MS, 40 * MS).run(&mut node, 150 * MS, 10 * SECOND, SECOND);
+    while sent(&node.ask(SECOND).1).is_some() {}
+    let came = node.now;
+    let (_, mut actions) = node.ask(SECOND);
+    while !refused(&actions) {
+        actions = node.pass(10 * MS);
+    }
+    // Of 400 ms, 120 for an answer at best, which may take six tenths of what is left.
+    let after = (node.now - came) / MS;
+    assert!((150..=250).contains(&after), "refused after {after} ms");
+}
