Let requests beyond their tenant's share come after those within

When one studio sends several times its share, what is beyond it is worth a fifth. Requests beyond the share now use the same part of a backend's room as a lesser class, and are sent last of those held.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -59,7 +59,8 @@
 const IDLE_SLOW: f64 = 1.1;
 /// A backend that reports less use than this has room for what may be late.
 const ROOMY: f64 = 0.7;
-/// A class worth less leaves this share of the room of the next worthier class at least.
+/// A class worth less may use this share of the room of the next worthier one at most; so may requests beyond
+/// their tenant's share, of the room of those within.
 const PRECEDENCE: f64 = 0.8;
 /// Retries that each arrival earns, and the most that can be saved up.
 const RETRY_SHARE: f64 = 0.2;
@@ -216,6 +217,7 @@
             not_after: arrival.not_after,
             attempts: Vec::new(),
             phase: Phase::Open,
+            over: false,
         };
         self.requests.insert(arrival.request, request);
         self.retry_tokens = (self.retry_tokens + RETRY_SHARE).min(self.retries_saved());
@@ -231,7 +233,11 @@
             asked.add(self.now, 1.0);
         }
         let over = self.over_share(tenant);
-        let admit = if over > 0.0 && self.draw() < over { self.over_admit } else { admit };
+        let over = over > 0.0 && self.draw() < over;
+        if let Some(request) = self.requests.get_mut(&arrival.request) {
+            request.over = over;
+        }
+        let admit = if over { self.over_admit } else { admit };
         if past || (admit < 1.0 && self.draw() >= admit) {
             self.end(arrival.request, self.settings.limits.retry_after, actions);
             return;
@@ -700,7 +706,9 @@
         let fits = load <= self.load_within(request.class, share * left / slowness);
         // A cold one's budget is its bound: what it lacks yet is no sign of a crowd.
         let crowd = slowness * backend.ramp(self.now, &self.settings.rules) * load;
-        idle || (fits && crowd <= view.room)
+        // What is beyond its tenant's share leaves room for what is not.
+        let room = if request.over && !self.many() { view.room * PRECEDENCE } else { view.room };
+        idle || (fits && crowd <= room)
     }
 
     /// Share of the time left that a send's expected delay may take.
@@ -723,7 +731,9 @@
 
     /// Sends what is held as room appears, the worthiest first.
     fn pump(&mut self, actions: &mut Vec<Action>) {
-        let valued = |&id| self.requests.get(&id).map(|r: &Request| (self.classes[r.class].value, id));
+        let over = self.settings.over_share_worth;
+        let worth = |r: &Request| self.classes[r.class].value * if r.over { over } else { 1.0 };
+        let valued = |&id| self.requests.get(&id).map(|r| (worth(r), id));
         let mut order: Vec<(f64, RequestId)> = self.held.iter().filter_map(valued).collect();
         order.sort_by(|a, b| b.0.total_cmp(&a.0).then(a.1.cmp(&b.1)));
         let mut misses = 0;
--- a/src/state.rs
+++ b/src/state.rs
@@ -106,6 +106,8 @@
     pub(crate) not_after: Nanos,
     pub(crate) attempts: Vec<Attempt>,
     pub(crate) phase: Phase,
+    /// Beyond its tenant's share, and worth less.
+    pub(crate) over: bool,
 }
 
 /// Whether an outlier is ejected.
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -59,19 +59,24 @@
 
     /// A request of class 0 that its client gives up after `wait`.
     pub fn ask(&mut self, wait: Nanos) -> (RequestId, Vec<Action>) {
-        self.ask_marked(wait, false)
+        self.ask_marked(wait, false, None)
     }
 
     /// The same, marked as a client's repeat.
     pub fn ask_again(&mut self, wait: Nanos) -> (RequestId, Vec<Action>) {
-        self.ask_marked(wait, true)
+        self.ask_marked(wait, true, None)
     }
 
-    fn ask_marked(&mut self, wait: Nanos, repeat: bool) -> (RequestId, Vec<Action>) {
+    /// A request of this tenant's.
+    pub fn ask_for(&mut self, tenant: u32, wait: Nanos) -> (RequestId, Vec<Action>) {
+        self.ask_marked(wait, false, Some(tenant))
+    }
+
+    fn ask_marked(&mut self, wait: Nanos, repeat: bool, tenant: Option<u32>) -> (RequestId, Vec<Action>) {
         let request = RequestId(self.next);
         self.next += 1;
         let not_after = self.now + wait;
-        let arrival = Arrival { request, class: ClassId(0), hint: None, repeat, tenant: None, not_after };
+        let arrival = Arrival { request, class: ClassId(0), hint: None, repeat, tenant, not_after };
         (request, self.tell(Event::Request(arrival)))
     }
 
@@ -157,21 +162,34 @@
     pub idle: Nanos,
     pub each: Nanos,
     open: Vec<(RequestId, Nanos, Nanos)>,
+    /// What it was sent.
+    pub taken: Vec<RequestId>,
 }
 
 impl Queue {
     pub fn new(idle: Nanos, each: Nanos) -> Self {
-        Self { idle, each, open: Vec::new() }
+        Self { idle, each, open: Vec::new(), taken: Vec::new() }
     }
 
     /// Asks once in `gap` for `span`; tells the most requests that were on the backend together.
     pub fn run(&mut self, node: &mut Node, gap: Nanos, span: Nanos, wait: Nanos) -> usize {
+        self.run_with(node, gap, span, |node| node.ask(wait).1)
+    }
+
+    /// The same with any kind of request.
+    pub fn run_with(
+        &mut self,
+        node: &mut Node,
+        gap: Nanos,
+        span: Nanos,
+        ask: impl Fn(&mut Node) -> Vec<Action>,
+    ) -> usize {
         let (end, mut next, mut most) = (node.now + span, node.now, 0);
         while node.now < end {
             let mut actions = node.pass(5 * MS);
             if node.now >= next {
                 next += gap;
-                actions.extend(node.ask(wait).1);
+                actions.extend(ask(node));
             }
             self.take(node.now, &actions);
             most = most.max(self.open.len());
@@ -190,6 +208,7 @@
             if let Action::Send { request, .. } = action {
                 let takes = self.idle.max(self.each * (self.open.len() as u64 + 1));
                 self.open.push((*request, now, now + takes));
+                self.taken.push(*request);
             }
         }
     }
--- a/tests/troubles.rs
+++ b/tests/troubles.rs
@@ -331,3 +331,20 @@
     let after = (node.now - came) / MS;
     assert!((150..=250).contains(&after), "refused after {after} ms");
 }
+
+/// A studio that sent several times its share was served alike with those that kept to theirs: of a few nodes
+/// none told them apart.
+#[test]
+fn a_tenant_that_floods_leaves_room_for_the_others() {
+    let given = Settings { tenants: vec![20.0, 40.0], over_share_worth: 0.2, ..settings(Effect::Repeatable) };
+    let mut node = Node::new(given, fleet(1));
+    let mut queue = Queue::new(80 * MS, 20 * MS);
+    let tenant = |request: u64| u32::from(request % 6 == 0);
+    queue.run_with(&mut node, 10 * MS, 20 * SECOND, |node| {
+        let tenant = tenant(node.next);
+        node.ask_for(tenant, SECOND).1
+    });
+    let taken = |wanted| queue.taken.iter().filter(|request| tenant(request.0) == wanted).count() as f64;
+    let parts = [taken(0) / (node.next as f64 * 5.0 / 6.0), taken(1) / (node.next as f64 / 6.0)];
+    assert!(parts[1] > 1.5 * parts[0], "{parts:?}");
+}
