--- a/tests/troubles.rs
+++ b/tests/troubles.rs
@@ -339,7 +339,7 @@
     let given = Settings { tenants: vec![20.0, 40.0], over_share_worth: 0.2, ..settings(Effect::Repeatable) };
     let mut node = Node::new(given, fleet(1));
     let mut queue = Queue::new(80 * MS, 20 * MS);
-    let tenant = |request: u64| u32::from(request % 6 == 0);
+    let tenant = |request: u64| u32::from(request.is_multiple_of(6));
     queue.run_with(&mut node, 10 * MS, 20 * SECOND, |node| {
         let tenant = tenant(node.next);
         node.ask_for(tenant, SECOND).1
