--- a/node/tests/serving.rs
+++ b/node/tests/serving.rs
@@ -107,9 +107,10 @@
 /// A process that has died refuses connections: nothing ran, and the module tries another.
 #[test]
 fn a_dead_backend_costs_no_request() {
-    let dead = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    // Bound and not listening: a port given back could become that of another test's backend.
+    let dead = tokio::net::TcpSocket::new_v4().unwrap();
+    dead.bind("127.0.0.1:0".parse().unwrap()).unwrap();
     let at = dead.local_addr().unwrap();
-    drop(dead);
     let serves = always(Does::Writes(ok("paid")));
     let discovery = Discovery::new(json!([target("s-0", at, "Ready"), target("s-1", serves.at, "Ready")]));
     let node = Node::start(&config(discovery.at, json!([])));
