Take short tries for repeats only as far as requests were left unserved

A client's try that was well shorter than the longest one so far passed for a late repeat, and was refused at once as past its aim. Now only as many short tries are repeats as requests were lately left unserved, twice over.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -62,6 +62,8 @@
 /// A class worth less may use this share of the room of the next worthier one at most; so may requests beyond
 /// their tenant's share, of the room of those within.
 const PRECEDENCE: f64 = 0.8;
+/// Repeats for each request left unserved: clients repeat once or twice, and the front spreads them.
+const REPEATS: f64 = 2.0;
 /// Retries that each arrival earns, and the most that can be saved up.
 const RETRY_SHARE: f64 = 0.2;
 const RETRY_SAVED: f64 = 10.0;
@@ -200,7 +202,11 @@
         view.longest_try = view.longest_try.max(wait);
         let worthless_late = self.settings.classes[class].late_share == 0.0;
         let again = arrival.repeat || !self.settings.repeats_marked;
-        let first = if again && worthless_late && wait < view.longest_try - view.longest_try / 8 {
+        let short = again && worthless_late && wait < view.longest_try - view.longest_try / 8;
+        // More of these than were left unserved are first tries, of clients that have come to wait less long.
+        let repeat = short && self.short.now(self.now) <= 1.0 + REPEATS * self.unserved.now(self.now);
+        self.short.add(self.now, if short { 1.0 } else { 0.0 });
+        let first = if repeat {
             arrival.not_after.saturating_sub(self.settings.classes[class].deadline).min(self.now)
         } else {
             self.now
@@ -311,6 +317,9 @@
     /// The one place that ends requests: refused where trying again does no harm, failed otherwise.
     fn end(&mut self, id: RequestId, pause: Nanos, actions: &mut Vec<Action>) {
         let Some(request) = self.requests.get(&id) else { return };
+        if self.now < request.aim_end {
+            self.unserved.add(self.now, 1.0);
+        }
         let ran = request.attempts.iter().any(Attempt::may_have_run);
         let refusable = match self.settings.classes[request.class].effect {
             Effect::Repeatable | Effect::Keyed { group: Group::All, .. } => true,
--- a/src/state.rs
+++ b/src/state.rs
@@ -228,6 +228,9 @@
     /// Requests of each tenant, and the share of those over their shares that is taken.
     pub(crate) tenants: Vec<Rate>,
     pub(crate) over_admit: f64,
+    /// Arrivals with so little time that they may be repeats, and requests that ended unserved in time for one.
+    pub(crate) short: Rate,
+    pub(crate) unserved: Rate,
     pub(crate) overflow: Vec<ZoneId>,
     pub(crate) qualified: usize,
     pub(crate) refresh_at: Nanos,
@@ -262,6 +265,8 @@
             settings,
             tenants,
             over_admit: 1.0,
+            short: Rate::default(),
+            unserved: Rate::default(),
             seed,
             random: seed ^ 0x9e37_79b9_7f4a_7c15,
             now,
--- a/tests/troubles.rs
+++ b/tests/troubles.rs
@@ -348,3 +348,23 @@
     let parts = [taken(0) / (node.next as f64 * 5.0 / 6.0), taken(1) / (node.next as f64 / 6.0)];
     assert!(parts[1] > 1.5 * parts[0], "{parts:?}");
 }
+
+/// A node refused two in five at once for nine seconds: its clients had come to wait for less time, and all of
+/// them passed for repeats that come too late.
+#[test]
+fn clients_that_come_to_wait_less_long_are_no_late_repeats() {
+    let mut node = Node::new(settings(Effect::Repeatable), fleet(2));
+    let mut run = |wait| {
+        let mut taken = 0;
+        for _ in 0..200 {
+            let (request, actions) = node.ask(wait);
+            taken += usize::from(sent(&actions).is_some());
+            node.pass(40 * MS);
+            node.settle(request, 0, Outcome::Served, util(0.3));
+        }
+        taken
+    };
+    assert_eq!(run(SECOND), 200);
+    let short = run(500 * MS);
+    assert!(short > 150, "{short} of 200 were taken");
+}
