--- a/src/choice.rs
+++ b/src/choice.rs
@@ -717,7 +717,9 @@
         let crowd = slowness * backend.ramp(self.now, &self.settings.rules) * load;
         // What is beyond its tenant's share leaves room for what is not.
         let room = if request.over && !self.many() { view.room * PRECEDENCE } else { view.room };
-        idle || (fits && crowd <= room)
+        // One request crowds no backend: with none there, no answer would show that it is well again.
+        let alone = backend.in_flight == 0 && !self.many();
+        idle || (fits && (alone || crowd <= room))
     }
 
     /// Share of the time left that a send's expected delay may take.
--- a/src/state.rs
+++ b/src/state.rs
@@ -489,4 +489,33 @@
         let after = learn(3.0, 70 * MS, 20_000);
         assert!(after < 1.5 * before, "room for {before}, then for {after}");
     }
+
+    /// Day 7 of the real score: answers of 10 ms, some held up for a tenth of a second. What then looked more than
+    /// six times slow got nothing, and so nothing that could show it well again.
+    #[test]
+    fn an_idle_backend_that_looks_very_slow_gets_one_request() {
+        let class = ClassSettings { aim: 400 * MS, deadline: SECOND, ..ClassSettings::default() };
+        let settings = Settings { classes: vec![class], ..Settings::new(ZoneId(0), 1) };
+        let now = 100 * SECOND;
+        let mut node = Balancer::new(settings, 7, now).expect("usable settings");
+        node.take_list(ListScope::Full, vec![Member::default()], 1);
+        (node.classes[0].idle, node.base) = (10.0 * MS as f64, 2.0 * MS as f64);
+        node.classes[0].room = 4.0;
+        let backend = node.backends.get_mut(&BackendId(0)).expect("it is listed");
+        backend.slow.feed(now, 12.0, SECOND, 1.0);
+        let sent = |request, node: &mut Balancer| {
+            let (class, not_after, mut actions) = (ClassId(0), now + SECOND, Vec::new());
+            let arrival = Arrival {
+                request: RequestId(request),
+                class,
+                hint: None,
+                repeat: false,
+                tenant: None,
+                not_after,
+            };
+            node.handle(now, Event::Request(arrival), &mut actions);
+            actions.iter().any(|action| matches!(action, Action::Send { .. }))
+        };
+        assert_eq!([sent(0, &mut node), sent(1, &mut node)], [true, false]);
+    }
 }
