--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,7 +3,8 @@
 #![doc = include_str!("../README.md")]
 
 pub mod api;
-pub mod choice;
+mod learning;
+mod policy;
 mod state;
 
 pub use api::*;
--- /dev/null
+++ b/src/policy/admission.rs
@@ -0,0 +1,178 @@
+//! Admission: what is sent now, held for a moment, or turned away.
+
+use super::figures::*;
+use crate::api::*;
+use crate::state::*;
+
+impl Balancer {
+    /// Whether a send there would be answered in time. Own idleness is no proof: with many nodes, each
+    /// sending one to a backend it holds nothing on jams that backend; so only one not known as slow.
+    pub(super) fn admits(&self, request: &Request, backend: &Backend) -> bool {
+        let late = self.now >= request.aim_end;
+        let end = if late { request.not_after } else { request.aim_end };
+        let left = end.saturating_sub(self.now) as f64;
+        let slowness = backend.slowness(self.now, &self.settings.rules);
+        let load = backend.load(self.crowd());
+        let view = &self.classes[request.class];
+        // With many nodes, all would pile onto the few backends that a late figure shows as free.
+        let idle = backend.in_flight == 0 && (slowness < IDLE_SLOW || self.many());
+        // Where there is room by its own report, a client with little time takes it from nobody.
+        let roomy = backend.util.younger_than(self.now, UTIL_TRUST) && backend.util.value < ROOMY;
+        let idle = idle || (roomy && !self.many() && f64::from(backend.in_flight) < backend.size());
+        let share = self.share(request);
+        let fits = load <= self.load_within(request.class, share * left / slowness);
+        // A cold one's budget is its bound: what it lacks yet is no sign of a crowd.
+        let crowd = slowness * backend.ramp(self.now, &self.settings.rules) * load;
+        // What is beyond its tenant's share leaves room for what is not.
+        let room = if request.over && !self.many() { view.room * PRECEDENCE } else { view.room };
+        // One request crowds no backend: with none there, no answer would show that it is well again.
+        let alone = backend.in_flight == 0 && !self.many();
+        idle || (fits && (alone || crowd <= room))
+    }
+
+    /// Share of the time left that a send's expected delay may take.
+    pub(super) fn share(&self, request: &Request) -> f64 {
+        // A repeat that waits for more room than this will be late: nothing is saved by it.
+        if request.attempts.is_empty() { ADMIT } else { ADMIT_AGAIN }
+    }
+
+    pub(super) fn dispatch(&mut self, id: RequestId, actions: &mut Vec<Action>) {
+        if let Some(to) = self.choose(id)
+            && self.send(id, to, actions)
+        {
+            return;
+        }
+        if let Some(request) = self.requests.get_mut(&id).filter(|r| r.phase == Phase::Open) {
+            request.phase = Phase::Held;
+            self.held.push(id);
+        }
+    }
+
+    /// Sends what is held as room appears, the worthiest first.
+    pub(super) fn pump(&mut self, actions: &mut Vec<Action>) {
+        let over = self.settings.over_share_worth;
+        let worth = |r: &Request| self.classes[r.class].value * if r.over { over } else { 1.0 };
+        let valued = |&id| self.requests.get(&id).map(|r| (worth(r), id));
+        let mut order: Vec<(f64, RequestId)> = self.held.iter().filter_map(valued).collect();
+        order.sort_by(|a, b| b.0.total_cmp(&a.0).then(a.1.cmp(&b.1)));
+        let mut misses = 0;
+        for (_, id) in order {
+            let sent = self.choose(id).is_some_and(|to| self.send(id, to, actions));
+            misses += usize::from(!sent);
+            if misses > 8 {
+                break;
+            }
+        }
+    }
+
+    /// Ends at once what no backend would be sent any more, as it could not answer in time; and what was
+    /// never sent, while a refusal is still early.
+    pub(super) fn expire(&mut self, actions: &mut Vec<Action>) {
+        let tick = self.tick();
+        let late = |request: &Request| {
+            let share = self.share(request);
+            let least = (self.delay(request.class, IDLE_LOAD) / share) as Nanos + tick;
+            let unsent = |a: &Attempt| matches!(a.outcome, Some(Outcome::ConnectFailed | Outcome::Moot));
+            let end = if request.attempts.iter().all(unsent) { request.half } else { request.not_after };
+            request.phase == Phase::Held
+                && !request.attempts.iter().any(Attempt::out)
+                && (self.now + least >= request.aim_end || self.now + tick >= end)
+        };
+        let is_late = |id: &RequestId| self.requests.get(id).is_some_and(late);
+        for id in self.held.iter().copied().filter(is_late).collect::<Vec<_>>() {
+            self.end(id, self.settings.limits.retry_after, actions);
+        }
+    }
+
+    /// What a unit of each class's work adds to the goal: worth, and more for the worst-served class.
+    pub(super) fn value_classes(&mut self) {
+        let goal = self.settings.worst_class_goal.min(1.0);
+        let rates: Vec<(f64, f64)> =
+            self.classes.iter().map(|c| (c.asked.now(self.now), c.served.now(self.now))).collect();
+        let worth: f64 = rates.iter().zip(&self.settings.classes).map(|(r, c)| r.0 * c.worth).sum();
+        let part = |(asked, served): (f64, f64)| if asked > 0.0 { served / asked } else { 1.0 };
+        let worst = rates.iter().map(|&rate| part(rate)).fold(1.0, f64::min);
+        for ((view, class), &rate) in self.classes.iter_mut().zip(&self.settings.classes).zip(&rates) {
+            let mut value = (1.0 - goal) * class.worth / worth.max(1e-9);
+            if part(rate) <= worst {
+                value += goal / rate.0.max(1e-9);
+            }
+            view.value = if self.settings.worth_by_work { value } else { value / view.idle.max(1.0) };
+        }
+        // A worthy class with a tight aim would find all room taken by lesser ones with a wide aim.
+        let mut room = f64::INFINITY;
+        for class in self.by_value().into_iter().filter(|&class| rates[class].0 > 0.1) {
+            let aim = self.settings.classes[class].aim as f64;
+            let crowded = self.load_within(class, CROWDED * self.classes[class].idle).max(HANDFUL);
+            room = (room * PRECEDENCE).min(crowded).min(self.load_within(class, ADMIT * aim));
+            self.classes[class].room = room;
+        }
+    }
+
+    /// Where nodes are many: the share that spills, and the share of each class that is taken at all. Each
+    /// moves by what would even out the figures over the arrivals of about the time until the next ones.
+    pub(super) fn share_out(&mut self) {
+        let home = self.settings.home;
+        let asked = self.asked();
+        let count = self.zones[home.0 as usize].listed.max(1.0);
+        let coming = (asked * self.crowd() * 2.0 * self.list_period / count).max(LEAST_COMING);
+        let wanted = SHARED_THRESHOLD / (1.0 - SHARED_THRESHOLD);
+        let best = self.overflow.first().filter(|_| self.qualified > 0);
+        let best = best.map(|zone| self.zones[zone.0 as usize].held);
+        // Load at which the mean unit of worth would still be answered in time.
+        let (mut worth, mut fitting) = (1e-9, 0.0);
+        for (number, class) in self.settings.classes.iter().enumerate() {
+            let weight = self.classes[number].asked.now(self.now) * class.worth;
+            worth += weight;
+            fitting += weight * self.load_within(number, ROOM * class.aim as f64);
+        }
+        // Not under the threshold, where home serves all; one node's own times are few, hence the bounds.
+        let room = (fitting / worth - IDLE_LOAD).clamp(wanted, 1.5 * wanted);
+        let view = &mut self.zones[home.0 as usize];
+        // A crossing has its price: the other zone must hold less by one request a core at least.
+        let spilling = view.held - best.map_or(f64::INFINITY, |best| (best + 1.0).max(wanted));
+        view.spill = (view.spill + GAIN * spilling.max(-view.held) / coming).clamp(0.0, 1.0);
+        // Home spills first; only what no zone has room for is turned away.
+        let held = best.map_or(view.held, |best| 0.5 * (view.held + best));
+        view.taken = (view.taken + GAIN * (room - held) / coming).clamp(LEAST_TAKEN, 1.0);
+    }
+
+    /// Part of a tenant's requests that is beyond this node's part of its share.
+    pub(super) fn over_share(&self, tenant: usize) -> f64 {
+        let (Some(asked), Some(quota)) = (self.tenants.get(tenant), self.settings.tenants.get(tenant)) else {
+            return 0.0;
+        };
+        let part = quota / f64::from(self.settings.nodes) / asked.now(self.now).max(1e-9);
+        // A node sees few requests of a tenant: half as many again may be chance.
+        if self.settings.over_share_worth < 1.0 { (1.0 - 1.5 * part).max(0.0) } else { 0.0 }
+    }
+
+    /// Spreads what is taken over the classes, the worthiest for each unit of work first. The shared figures
+    /// are late, or absent where discovery is down: what came back in time of what was asked bounds it too.
+    pub(super) fn admit(&mut self) {
+        let asked = self.asked();
+        let served: f64 = self.classes.iter().map(|class| class.served.now(self.now)).sum();
+        let home = &self.zones[self.settings.home.0 as usize];
+        // A node sees few answers: its own bound rests while the list shows home at half the threshold.
+        let fresh = self.listed_at.is_some_and(|at| self.now.saturating_sub(at) < UTIL_TRUST);
+        let calm = fresh && home.held < 0.5 * SHARED_THRESHOLD / (1.0 - SHARED_THRESHOLD);
+        let own = if calm { 1.0 } else { OVERDRAW * (served + 0.5) / (asked + 0.5) };
+        let taken = home.taken.min(own);
+        // A tenant that floods is turned away first, down to this node's part of its share.
+        let over: f64 =
+            (0..self.tenants.len()).map(|t| self.over_share(t) * self.tenants[t].now(self.now)).sum();
+        let within = (1.0 - over / asked.max(1e-9)).clamp(0.1, 1.0);
+        self.over_admit =
+            if within < 1.0 { ((taken - within) / (1.0 - within)).clamp(0.0, 1.0) } else { taken };
+        let taken = (taken / within).min(1.0);
+        let mut left = taken * asked;
+        for class in self.by_value() {
+            let view = &mut self.classes[class];
+            let asked = view.asked.now(self.now);
+            // A class not asked for of late is not one that there is no room for.
+            view.admit =
+                if taken < 1.0 && asked > 0.1 { (left / asked).clamp(LEAST_TAKEN, 1.0) } else { 1.0 };
+            left = (left - asked).max(0.0);
+        }
+    }
+}
--- /dev/null
+++ b/src/policy/discovery.rs
@@ -0,0 +1,100 @@
+//! The list of backends, what its weights say, and when discovery is asked again.
+
+use std::collections::BTreeSet;
+
+use super::figures::*;
+use crate::api::*;
+use crate::state::*;
+
+impl Balancer {
+    pub(super) fn fleet(&mut self, scope: ListScope, members: Vec<Member>) {
+        if scope != ListScope::Cached {
+            self.ask_failures = 0;
+        }
+        self.take_list(scope, members, SUBSET);
+        if self.settings.weights == Weights::Live && scope != ListScope::Cached {
+            self.interpret();
+        }
+    }
+
+    /// What a list's live weights say, which reach all nodes alike and late. A backend's share of the picks
+    /// moves by what evens out the figures over the arrivals of about the time until the next ones show
+    /// (load interpretation), no more, or all nodes would herd; what lasts is learned in small steps.
+    pub(super) fn interpret(&mut self) {
+        let period = self.listed_at.map_or(1.0, |at| self.now.saturating_sub(at) as f64 / SECOND as f64);
+        self.list_period += (period.min(3.0) - self.list_period) * 0.2;
+        self.listed_at = Some(self.now);
+        let mut sums = vec![(0.0, 0.0, 0.0); self.zones.len()];
+        for backend in self.backends.values().filter(|b| b.member.stage == Stage::InService) {
+            if let (Some(sum), Some(held)) = (sums.get_mut(backend.member.zone.0 as usize), backend.held) {
+                *sum = (sum.0 + 1.0, sum.1 + held, sum.2 + backend.size());
+            }
+        }
+        let asked = self.asked();
+        let arrivals = asked * self.crowd() * 2.0 * self.list_period;
+        for (zone, &(count, total, _)) in self.zones.iter_mut().zip(&sums) {
+            zone.held = total / f64::max(count, 1.0);
+        }
+        for backend in self.backends.values_mut() {
+            let (Some(&(count, total, size)), Some(held)) =
+                (sums.get(backend.member.zone.0 as usize), backend.held)
+            else {
+                continue;
+            };
+            // A slow machine should hold less for the same delay.
+            let mean = ((total + count) / f64::max(size, 1e-9) * backend.size() - 1.0).max(0.2);
+            let coming = (arrivals * backend.size() / f64::max(size, 1e-9)).max(1.0);
+            backend.response = (1.0 + (mean - held) / coming).clamp(RESPONSE.0, RESPONSE.1);
+            let step = BIAS_STEP * (mean - held) / (mean + 1.0).max(held);
+            backend.bias = (backend.bias * step.exp()).clamp(BIAS.0, BIAS.1);
+            backend.util.feed(self.now, held / (1.0 + held), UTIL_SMOOTHING, 0.05);
+        }
+        self.share_out();
+    }
+
+    pub(super) fn ask_later(&mut self) {
+        let wait = (ASK_AGAIN << self.ask_failures.min(4)) as f64 * (0.75 + 0.5 * self.draw());
+        self.ask_failures += 1;
+        self.ask_at = Some(self.now + wait as Nanos);
+    }
+
+    /// Takes a list in: backends come, change and go, and the `subset` lowest lots of each zone are found.
+    pub(crate) fn take_list(&mut self, scope: ListScope, members: Vec<Member>, subset: usize) {
+        if scope != ListScope::Changes {
+            let named: BTreeSet<BackendId> = members.iter().map(|member| member.backend).collect();
+            for backend in self.backends.values_mut() {
+                if !named.contains(&backend.member.backend) {
+                    backend.member.stage = Stage::Gone;
+                }
+            }
+        }
+        let live = self.settings.weights == Weights::Live;
+        for member in members.iter().filter(|member| live && member.size.is_finite()) {
+            let known = self.kind_size.entry(member.kind).or_insert(0.0);
+            *known = known.max(member.size);
+        }
+        for mut member in members {
+            let told = member.size;
+            if live {
+                member.size = self.kind_size.get(&member.kind).copied().unwrap_or(1.0);
+            }
+            let backend = self.backends.entry(member.backend).or_insert_with(|| Backend::new(member));
+            if backend.member.online_since != member.online_since {
+                let in_flight = backend.in_flight;
+                *backend = Backend { in_flight, ..Backend::new(member) };
+            }
+            backend.member = member;
+            backend.lot = mix(self.seed ^ u64::from(member.backend.0).wrapping_mul(0xd6e8_feb8_6659_fd93));
+            backend.held = (live && told > 0.0).then(|| (member.size / told - 1.0).max(0.0));
+        }
+        self.backends.retain(|_, backend| backend.member.stage != Stage::Gone || backend.in_flight > 0);
+        for (zone, view) in self.zones.iter_mut().enumerate() {
+            let listed =
+                |b: &&Backend| b.member.zone.0 as usize == zone && b.member.stage == Stage::InService;
+            let mut lots: Vec<u64> = self.backends.values().filter(listed).map(|b| b.lot).collect();
+            lots.sort_unstable();
+            view.listed = lots.len() as f64;
+            view.subset = lots.get(subset - 1).copied().unwrap_or(u64::MAX);
+        }
+    }
+}
--- /dev/null
+++ b/src/policy/figures.rs
@@ -0,0 +1,103 @@
+//! The settings of the policy: every threshold, weight, period and bound, with the reason beside it.
+
+use crate::api::Nanos;
+use crate::state::SECOND;
+
+pub(crate) const MS: Nanos = SECOND / 1000;
+
+/// Housekeeping period: fine enough against aims of tens of milliseconds, coarse enough to cost no CPU.
+pub(crate) const TICK: Nanos = 10 * MS;
+/// Period of the overflow target's scoring: the time that a send needs to show in a report, or so.
+pub(crate) const REFRESH: Nanos = 100 * MS;
+/// A zone at or over this utilisation spills. Lower, loaded zones swap requests and pay for each crossing;
+/// higher, queues grow faster than figures arrive.
+pub(crate) const THRESHOLD: f64 = 0.85;
+/// The same where many nodes share the zones, and figures tell late what all of them have done.
+pub(crate) const SHARED_THRESHOLD: f64 = 0.75;
+/// Weights of headroom and of latency saved in a zone's score; headroom decides unless zones are alike.
+pub(crate) const WEIGHT_HEADROOM: f64 = 0.7;
+pub(crate) const WEIGHT_LATENCY: f64 = 0.3;
+/// Time constant of a backend's smoothed utilisation: some report periods.
+pub(crate) const UTIL_SMOOTHING: Nanos = 400 * MS;
+/// A utilisation older than this says nothing; a zone with no younger one counts as unseen.
+pub(crate) const UTIL_TRUST: Nanos = 4 * SECOND;
+/// No backend has more than all of its cores in use; what its noise may add, and no more, is believed.
+pub(crate) const UTIL_MOST: f64 = 1.5;
+/// Time constant of a backend's slowness: tens of answers, yet within a neighbour's seconds on and off.
+pub(crate) const SLOW_SMOOTHING: Nanos = SECOND;
+/// An unused backend's slowness is forgotten with this time constant, so that it is tried again.
+pub(crate) const SLOW_FORGET: Nanos = 3 * SECOND;
+/// Samples over which a class's base time is learned; slow against a day's troubles.
+pub(crate) const BASE_SAMPLES: f64 = 400.0;
+/// Samples from which on a class's base time is good enough to compare backends by.
+pub(crate) const BASE_FIRST: f64 = 30.0;
+/// Weight of a sample above the base time against one below it.
+pub(crate) const BASE_RISE: f64 = 0.4;
+/// Load of an idle backend in the expected delay, in own requests; small, as others' load grows with own.
+pub(crate) const IDLE_LOAD: f64 = 0.7;
+/// Least weight of a sample in the time for each request, should that have become too short to be seen.
+pub(crate) const BASE_LEAST: f64 = 0.1;
+/// One observation counts at most this many times the expectation: single expensive requests are chance.
+pub(crate) const SLOW_CLAMP: f64 = 6.0;
+/// Spread of the pick's jitter, so that nodes with the same view do not herd.
+pub(crate) const JITTER: f64 = 0.1;
+/// No backend is filled beyond the load at which an answer takes this many times an idle backend's: with more
+/// work waiting than that for a second or two, a backend turns several times slower and stays so.
+pub(crate) const CROWDED: f64 = 1.25;
+/// So small a load crowds no backend, whatever its answers say.
+pub(crate) const HANDFUL: f64 = 4.0;
+/// A send is admitted if its expected delay fits into this share of the time left to its aim.
+pub(crate) const ADMIT: f64 = 0.6;
+/// The same for a repeat within the node: its time is nearly up, and its work is half done.
+pub(crate) const ADMIT_AGAIN: f64 = 1.0;
+/// An idle backend no slower than this takes one at any expected delay, should base times exceed the aim.
+pub(crate) const IDLE_SLOW: f64 = 1.1;
+/// A backend that reports less use than this has room for what may be late.
+pub(crate) const ROOMY: f64 = 0.7;
+/// A class worth less may use this share of the room of the next worthier one at most; so may requests beyond
+/// their tenant's share, of the room of those within.
+pub(crate) const PRECEDENCE: f64 = 0.8;
+/// Repeats for each request left unserved: clients repeat once or twice, and the front spreads them.
+pub(crate) const REPEATS: f64 = 2.0;
+/// Retries that each arrival earns, and the most that can be saved up.
+pub(crate) const RETRY_SHARE: f64 = 0.2;
+pub(crate) const RETRY_SAVED: f64 = 10.0;
+/// Failures in a row (a broken or refused connection counts double) that make an outlier.
+pub(crate) const EJECT_AFTER: u32 = 6;
+/// A time-out counts against its backend from so many base times on.
+pub(crate) const OVERDUE: f64 = 3.0;
+/// First ejection; doubled each time up to 2^5.
+pub(crate) const EJECT_FOR: Nanos = SECOND;
+/// Wait after a backend sent work away as full; doubled up to 2^4 while it goes on.
+pub(crate) const FULL_FOR: Nanos = 100 * MS;
+/// At most this share of the listed backends is ejected (panic threshold).
+pub(crate) const EJECT_SHARE: f64 = 0.5;
+/// With more nodes a zone than this, own requests in flight say nothing of a backend's load: the pick then
+/// goes by what the list or the reports tell all nodes, and by chance.
+pub(crate) const SHARED_VIEW: f64 = 8.0;
+/// Backends of a zone that one of many nodes uses as long as one of them can take the request.
+pub(crate) const SUBSET: usize = 4;
+/// Least and most that one late figure moves a backend's share of the picks.
+pub(crate) const RESPONSE: (f64, f64) = (0.1, 2.0);
+/// Part of the aim, on the mean, that a zone's load may fill before arrivals are turned away.
+pub(crate) const ROOM: f64 = 0.7;
+/// Arrivals taken for each one that was lately answered in time (adaptive throttling).
+pub(crate) const OVERDRAW: f64 = 1.15;
+/// Part of the difference to the wanted load that one list's figures correct, in the share of the arrivals
+/// that spills and the share that is taken; and the least of the latter, so that an end of the jam is seen.
+pub(crate) const GAIN: f64 = 0.5;
+pub(crate) const LEAST_TAKEN: f64 = 0.05;
+/// Fewest arrivals for each backend until the next figures: a node that has just started has counted none.
+pub(crate) const LEAST_COMING: f64 = 10.0;
+/// How far one list moves a backend's lasting share, and the bounds of that share.
+pub(crate) const BIAS_STEP: f64 = 0.15;
+pub(crate) const BIAS: (f64, f64) = (0.1, 4.0);
+/// Part of the cold budget that nodes together use; the rest is for chance and for late figures.
+pub(crate) const COLD_SHARE: f64 = 0.4;
+/// Parts by which the measured capacity rises and falls in a refresh: in about 2 s, and in a minute.
+pub(crate) const CAPACITY_RISE: f64 = 0.05;
+pub(crate) const CAPACITY_FALL: f64 = 0.002;
+/// Weight of a request in its class's mean cost.
+pub(crate) const COST_SMOOTHING: f64 = 0.01;
+/// First wait after a failed call to discovery; doubled up to 2^4, jittered.
+pub(crate) const ASK_AGAIN: Nanos = 300 * MS;
--- /dev/null
+++ b/src/policy/health.rs
@@ -0,0 +1,70 @@
+//! Health: outliers are ejected and tried again.
+
+use super::figures::*;
+use crate::api::*;
+use crate::state::*;
+
+impl Balancer {
+    pub(super) fn usable(&self, backend: &Backend) -> bool {
+        if self.now < backend.full_until {
+            return false;
+        }
+        match backend.health {
+            Health::Healthy => true,
+            Health::Ejected { until } => self.now >= until && backend.in_flight == 0,
+            Health::HalfOpen { .. } => backend.in_flight == 0,
+        }
+    }
+
+    /// Ejects an outlier, readmits after two served trials.
+    pub(super) fn judge(&mut self, id: BackendId, outcome: Outcome, actions: &mut Vec<Action>) {
+        let weight = match outcome {
+            Outcome::Served => 0,
+            // A connection may break on the way, between two that are well; a refused one tells more.
+            Outcome::Error | Outcome::Spoilt | Outcome::TimedOut | Outcome::Full | Outcome::Reset => 1,
+            Outcome::ConnectFailed => 2,
+            Outcome::Cancelled | Outcome::Moot => return,
+        };
+        let turned_away = outcome == Outcome::Full || (outcome == Outcome::ConnectFailed && self.many());
+        let Some(backend) = self.backends.get_mut(&id) else { return };
+        // Sent away at once, again and again, a backend looks idle and would draw all traffic. With many
+        // nodes a refused connection may mean a full table just as well as a dead process.
+        if turned_away {
+            backend.full_until = self.now + (FULL_FOR << backend.full_in_row.min(4));
+            backend.full_in_row += 1;
+            return;
+        }
+        backend.full_in_row = 0;
+        // What comes back spoilt comes from all alike, or is the fault of the request: it tells little.
+        let told = if outcome == Outcome::Spoilt { 0.5 } else { 1.0 };
+        backend.failing.feed(self.now, if weight > 0 { told } else { 0.0 }, SECOND, 0.1);
+        if weight == 0 {
+            backend.failed_in_row = 0;
+            match backend.health {
+                Health::HalfOpen { served: 0 } => backend.health = Health::HalfOpen { served: 1 },
+                Health::HalfOpen { .. } => {
+                    backend.health = Health::Healthy;
+                    backend.ejections = backend.ejections.saturating_sub(1);
+                    self.log(actions, || format!("backend {} readmitted: trials served", id.0));
+                }
+                _ => {}
+            }
+            return;
+        }
+        backend.failed_in_row += weight;
+        let listed = self.backends.values().filter(|b| b.member.stage == Stage::InService).count() as f64;
+        let ejected = self.backends.values().filter(|b| b.health != Health::Healthy).count() as f64;
+        let failing = self.backends.values().map(|b| b.failing.value).sum::<f64>() / listed.max(1.0);
+        let Some(backend) = self.backends.get_mut(&id) else { return };
+        let outlier = backend.failed_in_row >= EJECT_AFTER && backend.failing.value > 2.0 * failing.min(0.4);
+        let failed_trial = told == 1.0 && matches!(backend.health, Health::HalfOpen { .. });
+        let room = ejected + 1.0 <= listed * EJECT_SHARE;
+        if failed_trial || (outlier && room && backend.health == Health::Healthy) {
+            let span = EJECT_FOR << backend.ejections.min(5);
+            backend.ejections += 1;
+            backend.failed_in_row = 0;
+            backend.health = Health::Ejected { until: self.now + span };
+            self.log(actions, || format!("backend {} ejected for {} ms: {outcome:?}", id.0, span / MS));
+        }
+    }
+}
--- /dev/null
+++ b/src/policy/ledger.rs
@@ -0,0 +1,199 @@
+//! The request ledger with the contract gate: arrivals, sends, ends and settlements. Every send passes
+//! `permits`, every end `end`.
+
+use super::figures::*;
+use crate::api::*;
+use crate::state::*;
+
+impl Balancer {
+    pub(super) fn arrive(&mut self, arrival: Arrival, actions: &mut Vec<Action>) {
+        let class = (arrival.class.0 as usize).min(self.classes.len() - 1);
+        let view = &mut self.classes[class];
+        let cost = arrival.hint.map_or(view.idle, |hint| hint as f64).max(1.0);
+        view.cost += (cost - view.cost) * if view.cost > 0.0 { COST_SMOOTHING } else { 1.0 };
+        // A try well shorter than others ends with the client's deadline: that tells when its first try came,
+        // and the aim counts from then. Arrivals jitter, so a little shorter is no sign. Where repeats
+        // are marked the rest are first tries: repeats may get more time, which made those look late.
+        let wait = arrival.not_after.saturating_sub(self.now);
+        view.longest_try = view.longest_try.max(wait);
+        let worthless_late = self.settings.classes[class].late_share == 0.0;
+        let again = arrival.repeat || !self.settings.repeats_marked;
+        let short = again && worthless_late && wait < view.longest_try - view.longest_try / 8;
+        // More of these than were left unserved are first tries, of clients that have come to wait less long.
+        let repeat = short && self.short.now(self.now) <= 1.0 + REPEATS * self.unserved.now(self.now);
+        self.short.add(self.now, if short { 1.0 } else { 0.0 });
+        let first = if repeat {
+            arrival.not_after.saturating_sub(self.settings.classes[class].deadline).min(self.now)
+        } else {
+            self.now
+        };
+        let (admit, aim) = (view.admit, self.settings.classes[class].aim);
+        let aim_end = arrival.not_after.min(first + aim);
+        let request = Request {
+            class,
+            cost,
+            // Picking the requests with small hints for a small budget picks the hints that are too low.
+            cold_cost: cost.max(view.cost),
+            aim_end,
+            half: self.now + wait / 2,
+            not_after: arrival.not_after,
+            attempts: Vec::new(),
+            phase: Phase::Open,
+            over: false,
+        };
+        self.requests.insert(arrival.request, request);
+        self.retry_tokens = (self.retry_tokens + RETRY_SHARE).min(self.retries_saved());
+        self.refresh(actions);
+        // Guards against jams that feed on their own repeats: what is past its aim, or more than the servers
+        // can do in time, is turned away before it costs them anything.
+        let past = aim_end <= self.now && worthless_late;
+        if !past {
+            self.classes[class].asked.add(self.now, 1.0);
+        }
+        let tenant = arrival.tenant.map_or(usize::MAX, |tenant| tenant as usize);
+        if let Some(asked) = self.tenants.get_mut(tenant).filter(|_| !past) {
+            asked.add(self.now, 1.0);
+        }
+        let over = self.over_share(tenant);
+        let over = over > 0.0 && self.draw() < over;
+        if let Some(request) = self.requests.get_mut(&arrival.request) {
+            request.over = over;
+        }
+        let admit = if over { self.over_admit } else { admit };
+        if past || (admit < 1.0 && self.draw() >= admit) {
+            self.end(arrival.request, self.settings.limits.retry_after, actions);
+            return;
+        }
+        self.dispatch(arrival.request, actions);
+    }
+
+    /// The contract gate: whether this request may be sent to this backend now. Every send passes it.
+    pub(super) fn permits(&self, request: &Request, backend: &Backend) -> bool {
+        let class = &self.settings.classes[request.class];
+        let live = matches!(request.phase, Phase::Open | Phase::Held) && self.now < request.not_after;
+        let attempts_left = (request.attempts.len() as u32) < self.settings.limits.attempts;
+        let alone = self.settings.limits.second_copies || !request.attempts.iter().any(Attempt::out);
+        let ran = request.attempts.iter().find(|attempt| attempt.may_have_run());
+        let repeat_dropped = match (class.effect, ran) {
+            (Effect::Repeatable, _) | (_, None) => true,
+            (Effect::Once, Some(_)) => false,
+            (Effect::Keyed { group, window }, Some(first)) => {
+                let same = match group {
+                    Group::All => true,
+                    Group::Zone => first.zone == backend.member.zone,
+                    Group::Cell => first.cell == backend.member.cell,
+                };
+                same && self.now + self.settings.quantum < first.sent.saturating_add(window)
+            }
+        };
+        // A wanted margin to the drain grace: nothing is sent once told.
+        let in_service = backend.member.stage == Stage::InService;
+        live && attempts_left && alone && repeat_dropped && in_service && self.cold_budget(backend, request)
+    }
+
+    /// The one place that sends. False where the gate forbids it.
+    pub(super) fn send(&mut self, id: RequestId, to: BackendId, actions: &mut Vec<Action>) -> bool {
+        let (crowd, gate) = (self.crowd(), self.requests.get(&id).zip(self.backends.get(&to)));
+        if !gate.is_some_and(|(request, backend)| self.permits(request, backend)) {
+            return false;
+        }
+        let (Some(request), Some(backend)) = (self.requests.get_mut(&id), self.backends.get_mut(&to)) else {
+            return false;
+        };
+        request.phase = Phase::Open;
+        request.attempts.push(Attempt {
+            backend: to,
+            zone: backend.member.zone,
+            cell: backend.member.cell,
+            sent: self.now,
+            load: backend.load(crowd),
+            outcome: None,
+        });
+        backend.in_flight += 1;
+        let (class, aim_end) = (request.class, request.aim_end);
+        let zone = backend.member.zone;
+        if backend.ramp(self.now, &self.settings.rules) < 1.0 {
+            backend.cold_sends.push_back((self.now, request.cold_cost));
+        }
+        if let Health::Ejected { .. } = backend.health {
+            backend.health = Health::HalfOpen { served: 0 };
+        }
+        // Past its aim an answer may be worth nothing: then a server need not work on it. With few nodes what
+        // is admitted by own figures hardly waits that long, and the repeats cost more.
+        let late_share = self.settings.classes[class].late_share;
+        let drop_late =
+            self.many() && (late_share == 0.0 || (late_share <= 0.5 && self.classes[class].admit < 1.0));
+        let timeout = (drop_late && aim_end > self.now).then(|| aim_end - self.now);
+        actions.push(Action::Send { request: id, backend: to, timeout });
+        let view = self.zones.get_mut(zone.0 as usize);
+        view.into_iter().for_each(|view| view.count_own(self.now, 1.0, UTIL_SMOOTHING));
+        true
+    }
+
+    /// The one place that ends requests: refused where trying again does no harm, failed otherwise.
+    pub(super) fn end(&mut self, id: RequestId, pause: Nanos, actions: &mut Vec<Action>) {
+        let Some(request) = self.requests.get(&id) else { return };
+        if self.now < request.aim_end {
+            self.unserved.add(self.now, 1.0);
+        }
+        let ran = request.attempts.iter().any(Attempt::may_have_run);
+        let refusable = match self.settings.classes[request.class].effect {
+            Effect::Repeatable | Effect::Keyed { group: Group::All, .. } => true,
+            Effect::Keyed { .. } | Effect::Once => !ran,
+        };
+        actions.push(if refusable {
+            Action::Refuse { request: id, pause: pause.min(self.settings.limits.retry_after) }
+        } else {
+            Action::Fail { request: id }
+        });
+        self.cancel_rest(id, actions);
+        self.forget(id);
+    }
+
+    pub(super) fn cancel_rest(&self, id: RequestId, actions: &mut Vec<Action>) {
+        let Some(request) = self.requests.get(&id).filter(|_| self.settings.limits.cancel) else { return };
+        let out = request.attempts.iter().zip(0..).filter(|(attempt, _)| attempt.out());
+        actions.extend(out.map(|(_, attempt)| Action::Cancel { request: id, attempt }));
+    }
+
+    /// Marks a request as ended; it is dropped once its last attempt has settled.
+    pub(super) fn forget(&mut self, id: RequestId) {
+        let Some(request) = self.requests.get_mut(&id) else { return };
+        request.phase = Phase::Ended;
+        if !request.attempts.iter().any(Attempt::out) {
+            self.requests.remove(&id);
+        }
+    }
+
+    pub(super) fn settle(&mut self, settled: Settlement, actions: &mut Vec<Action>) {
+        let Some(request) = self.requests.get_mut(&settled.request) else { return };
+        let (class, cost, aim_end) = (request.class, request.cost, request.aim_end);
+        let Some(attempt) = request.attempts.get_mut(settled.attempt as usize).filter(|a| a.out()) else {
+            return;
+        };
+        attempt.outcome = Some(settled.outcome);
+        let (to, load, zone) = (attempt.backend, attempt.load, attempt.zone);
+        let open = request.phase != Phase::Ended;
+        let view = self.zones.get_mut(zone.0 as usize);
+        view.into_iter().for_each(|view| view.count_own(self.now, -1.0, UTIL_SMOOTHING));
+        self.learn(to, class, cost, load, &settled);
+        // A client with little time ends an attempt early: that is no fault of the backend's.
+        let early = (settled.elapsed as f64) < OVERDUE * self.delay(class, 1.0);
+        if settled.outcome != Outcome::TimedOut || !early {
+            self.judge(to, settled.outcome, actions);
+        }
+        self.report(to, settled.report);
+        if settled.ended || !open {
+            if open && settled.outcome == Outcome::Served && (self.now <= aim_end || !self.many()) {
+                self.classes[class].served.add(self.now, 1.0);
+            }
+            if open {
+                self.cancel_rest(settled.request, actions);
+            }
+            self.forget(settled.request);
+        } else {
+            self.retry(settled.request, actions);
+        }
+        self.pump(actions);
+    }
+}
--- /dev/null
+++ b/src/policy/pick.rs
@@ -0,0 +1,57 @@
+//! The pick inside a zone.
+
+use super::figures::*;
+use crate::api::*;
+use crate::state::*;
+
+impl Balancer {
+    /// Among the permitted backends that would answer in time: with few nodes the one with the least expected
+    /// delay; with many one by chance, weighted by size and by what all nodes have been told.
+    pub(super) fn pick(&self, id: RequestId, zone: ZoneId) -> Option<BackendId> {
+        if !self.many() {
+            return self.pick_among(id, zone, u64::MAX);
+        }
+        // Many nodes on every backend would fill its table of connections and pay for opening them: each
+        // keeps to a few by its own lots, and goes past them only when none of them can take the request.
+        let subset = self.zones.get(zone.0 as usize)?.subset;
+        self.pick_among(id, zone, subset).or_else(|| self.pick_among(id, zone, u64::MAX))
+    }
+
+    pub(super) fn pick_among(&self, id: RequestId, zone: ZoneId, subset: u64) -> Option<BackendId> {
+        let (mut best, mut total) = (None, 0.0);
+        let request = self.requests.get(&id)?;
+        let mut jitter = self.random ^ id.0.wrapping_mul(0xd6e8_feb8_6659_fd93);
+        let within = |b: &Backend| b.member.zone == zone && b.lot <= subset;
+        for (&to, backend) in self.backends.iter().filter(|(_, b)| within(b)) {
+            if !self.usable(backend) || !self.admits(request, backend) || !self.permits(request, backend) {
+                continue;
+            }
+            jitter = jitter.wrapping_mul(0x5851_f42d_4c95_7f2d).wrapping_add(0x1405_7b7e_f767_814f);
+            let chance = (jitter >> 40) as f64 / (1u64 << 24) as f64;
+            let tried = request.attempts.iter().any(|attempt| attempt.backend == to);
+            // Failing fast must not look idle: failures weigh like delay; faded, or no trial would be made.
+            let failing =
+                1.0 + 8.0 * backend.failing.fading(self.now, SLOW_FORGET) + if tried { 4.0 } else { 0.0 };
+            if self.many() {
+                // Where the list tells the load, a few answers of one's own would only add noise.
+                let drag = match backend.held {
+                    Some(_) => 1.0 / backend.ramp(self.now, &self.settings.rules),
+                    None => backend.slowness(self.now, &self.settings.rules).max(0.5),
+                };
+                let share = backend.size() * backend.bias * backend.response / (failing * drag);
+                total += share;
+                if chance * total < share {
+                    best = Some((0.0, to));
+                }
+                continue;
+            }
+            let slowness = backend.slowness(self.now, &self.settings.rules);
+            let delay = slowness * self.delay(request.class, backend.load(self.crowd()));
+            let delay = delay * failing * (1.0 + JITTER * chance);
+            if best.is_none_or(|(least, _)| delay < least) {
+                best = Some((delay, to));
+            }
+        }
+        best.map(|(_, to)| to)
+    }
+}
--- /dev/null
+++ b/src/policy/retries.rs
@@ -0,0 +1,32 @@
+//! Retries, within their budget.
+
+use super::figures::*;
+use crate::api::*;
+use crate::state::*;
+
+impl Balancer {
+    /// Most retries that a node may save up: many nodes together must not save a storm.
+    pub(super) fn retries_saved(&self) -> f64 {
+        (RETRY_SAVED / self.crowd()).max(1.0)
+    }
+
+    /// After an attempt that did not serve: again, where the gate and the retry budget let it.
+    pub(super) fn retry(&mut self, id: RequestId, actions: &mut Vec<Action>) {
+        let Some(request) = self.requests.get(&id) else { return };
+        if request.attempts.iter().any(Attempt::out) {
+            return;
+        }
+        let late = self.now >= request.aim_end;
+        // What was turned away at once has cost little: its first retry is free.
+        let unseen = request.attempts.len() == 1 && !request.attempts[0].may_have_run();
+        let again = (self.retry_tokens >= 1.0 || (unseen && self.many())) && !late;
+        let pause = if late { self.settings.limits.retry_after } else { 0 };
+        if !again || !self.backends.values().any(|backend| self.permits(request, backend)) {
+            self.end(id, pause, actions);
+            return;
+        }
+        // Where no backend has room this moment it is held: most have some before the aim has passed.
+        self.retry_tokens = (self.retry_tokens - 1.0).max(0.0);
+        self.dispatch(id, actions);
+    }
+}
--- /dev/null
+++ b/src/policy/slow_start.rs
@@ -0,0 +1,32 @@
+//! Slow start: what may be sent to a cold backend.
+
+use super::figures::*;
+use crate::state::*;
+
+impl Balancer {
+    /// Whether this node's share of a cold backend's budget has room.
+    pub(super) fn cold_budget(&self, backend: &Backend, request: &Request) -> bool {
+        let rules = &self.settings.rules;
+        let ramp = backend.ramp(self.now, rules);
+        if ramp >= 1.0 {
+            return true;
+        }
+        let since = self.now.saturating_sub(rules.fall_span + self.settings.quantum);
+        let recent = backend.cold_sends.iter().rev().take_while(|(at, _)| *at >= since);
+        let spent: f64 = recent.map(|(_, cost)| cost).sum();
+        let span = rules.fall_span as f64 / SECOND as f64;
+        // Only nodes with it in their subset send there, and these divide the budget.
+        let zone = self.zones.get(backend.member.zone.0 as usize).copied().unwrap_or_default();
+        if self.many() && backend.lot > zone.subset {
+            return false;
+        }
+        let users = if self.many() { (zone.listed / SUBSET as f64).max(1.0) } else { 1.0 };
+        let budget = COLD_SHARE * rules.tip_multiple * ramp * backend.size() * zone.capacity * span * users;
+        // A budget under one request is spent by chance, or many nodes' first sends would exceed it together;
+        // one of a zone's nodes or so always tries, as no figure may come from elsewhere.
+        let epoch = self.now / rules.fall_span.max(1);
+        let lot = mix(backend.lot ^ epoch.wrapping_mul(0x9e37_79b9_7f4a_7c15)) as f64 / u64::MAX as f64;
+        spent + request.cold_cost <= budget
+            || (spent == 0.0 && lot <= (budget / request.cold_cost).max(1.0 / self.crowd()))
+    }
+}
--- /dev/null
+++ b/src/policy/zones.rs
@@ -0,0 +1,101 @@
+//! The zone choice, which is the design: home under the threshold, else the one best-scored overflow zone,
+//! home when none qualifies.
+
+use super::figures::*;
+use crate::api::*;
+use crate::state::*;
+
+impl Balancer {
+    pub(super) fn threshold(&self) -> f64 {
+        if self.many() { SHARED_THRESHOLD } else { THRESHOLD }
+    }
+
+    /// A zone's utilisation: smoothed reports, raised by the own sends since they were made. Never lowered:
+    /// a zone reported full would look free in a moment's lull.
+    pub(super) fn utilisation(&self, zone: ZoneId) -> Option<f64> {
+        let view = self.zones.get(zone.0 as usize)?;
+        let (mut used, mut size, own) = (0.0, 0.0, view.own);
+        for backend in self.backends.values().filter(|b| b.member.zone == zone) {
+            if self.usable(backend) && backend.util.younger_than(self.now, UTIL_TRUST) {
+                used += backend.util.value * backend.size();
+                size += backend.size();
+            }
+        }
+        (size > 0.0).then(|| {
+            used / size * ((own + size) / (view.own_before(self.now, UTIL_SMOOTHING) + size)).max(1.0)
+        })
+    }
+
+    /// Scores the other zones. Those under the threshold come first, by score; an unseen zone qualifies
+    /// lowest, so that one send learns its figures.
+    pub(super) fn refresh(&mut self, actions: &mut Vec<Action>) {
+        if self.now < self.refresh_at {
+            return;
+        }
+        self.refresh_at = self.now + REFRESH + (self.draw() * REFRESH as f64 * 0.1) as Nanos;
+        self.value_classes();
+        self.measure_capacity();
+        for zone in &mut self.zones {
+            // Forgotten slowly, so that a link that has become slow shows.
+            zone.least_elapsed = zone.least_elapsed.map(|least| least * 1.002);
+        }
+        let (home, threshold) = (self.settings.home, self.threshold());
+        let seen = |zone: &ZoneId| self.zones[zone.0 as usize].least_elapsed;
+        let others = (0..self.settings.zones).map(ZoneId).filter(|&zone| zone != home);
+        let farthest = others.clone().filter_map(|zone| seen(&zone)).fold(1.0, f64::max);
+        let mut scored: Vec<(bool, f64, ZoneId)> = others
+            .map(|zone| match (self.utilisation(zone), seen(&zone)) {
+                (Some(util), latency) => {
+                    let headroom = 1.0 - util;
+                    let saved = (farthest - latency.unwrap_or(farthest)) / farthest;
+                    (util < threshold, WEIGHT_HEADROOM * headroom + WEIGHT_LATENCY * saved, zone)
+                }
+                (None, _) => (true, -1.0, zone),
+            })
+            .collect();
+        scored.sort_by(|a, b| b.0.cmp(&a.0).then(b.1.total_cmp(&a.1)).then(a.2.cmp(&b.2)));
+        self.qualified = scored.iter().filter(|score| score.0).count();
+        self.overflow = scored.into_iter().map(|score| score.2).collect();
+        if self.settings.weights != Weights::Live && self.many() && self.now >= self.share_at {
+            self.share_at = self.now + SECOND;
+            for zone in 0..self.settings.zones {
+                let util = self.utilisation(ZoneId(zone)).unwrap_or(0.0).min(0.95);
+                self.zones[zone as usize].held = util / (1.0 - util);
+            }
+            self.share_out();
+        }
+        if self.many() {
+            self.admit();
+        }
+        let spilling = self.utilisation(home).is_some_and(|util| util >= threshold);
+        if std::mem::replace(&mut self.zones[home.0 as usize].spilling, spilling) != spilling {
+            let to = self.overflow.first().map_or(home.0, |zone| zone.0);
+            let does = if spilling { "spills" } else { "serves" };
+            self.log(actions, || format!("home zone {does}; the best other one is {to}"));
+        }
+    }
+
+    /// The backend for a request by the design, or none if it is better held.
+    pub(super) fn choose(&mut self, id: RequestId) -> Option<BackendId> {
+        let home = self.settings.home;
+        // Exception: many nodes that all left an over-used zone at once would pile onto the next; so each
+        // request leaves by chance, and the share follows the excess.
+        let under = if self.many() {
+            self.draw() >= self.zones[home.0 as usize].spill
+        } else {
+            self.utilisation(home).is_none_or(|util| util < self.threshold())
+        };
+        if under && let Some(to) = self.pick(id, home) {
+            return Some(to);
+        }
+        let target = self.overflow.first().copied().filter(|_| self.qualified > 0);
+        if let Some(to) = target.and_then(|zone| self.pick(id, zone)) {
+            return Some(to);
+        }
+        if !under && let Some(to) = self.pick(id, home) {
+            return Some(to);
+        }
+        // Exception: home can take nothing in time (full, ejected, cold or empty): any zone that can.
+        self.overflow.iter().find_map(|&zone| self.pick(id, zone))
+    }
+}
