Record what the module decides, and measure what a decision costs

The cost of a decision is to fall without a decision changing: 27 closed-loop worlds now record digests of all actions (tests/recorded.rs), and benches/decisions.rs counts the time inside the module for each request.

--- /dev/null
+++ b/benches/decisions.rs
@@ -0,0 +1,56 @@
+//! What a request costs in the module, its outcomes and its part of the timers included.
+//!
+//! `cargo bench --bench decisions`. One iteration is one request of a closed loop; only the time inside
+//! `Balancer::handle` is counted. `docs/design/decisions.md` has the table.
+
+#[path = "../tests/common/world.rs"]
+mod world;
+
+use criterion::{BenchmarkId, Criterion, criterion_group, criterion_main};
+use world::{Shape, World};
+
+const MS: u64 = 1_000_000;
+
+fn measure(
+    group: &mut criterion::BenchmarkGroup<criterion::measurement::WallTime>,
+    name: &str,
+    shape: Shape,
+) {
+    // Two seconds of arrivals and some answers of each backend: what is measured is not the start.
+    let mut world = World::new(shape);
+    world.run(2 * shape.rate);
+    let open = world.node.open_requests();
+    group.bench_function(BenchmarkId::new(name, format!("{} open", open)), |bencher| {
+        bencher.iter_custom(|iterations| {
+            let before = world.inside;
+            world.run(world.arrived + iterations);
+            world.inside - before
+        });
+    });
+}
+
+fn decisions(c: &mut Criterion) {
+    let mut group = c.benchmark_group("calm");
+    for backends in [12, 100, 1_000, 10_000] {
+        // A third of what they can take; with a few nodes, and with many.
+        let rate = u64::from(backends) * 5;
+        let few = Shape { backends, rate, failing: 1, ..Shape::default() };
+        measure(&mut group, &format!("{backends} backends, 3 nodes"), few);
+        let many = Shape { nodes: 1000, rate: rate / 50 + 10, reports: true, ..few };
+        measure(&mut group, &format!("{backends} backends, 1000 nodes"), many);
+    }
+    group.finish();
+    let mut group = c.benchmark_group("overload");
+    for rate in [1_000, 5_000, 20_000, 100_000] {
+        let shape = Shape { rate, work: 30 * MS, failing: 1, ..Shape::default() };
+        measure(&mut group, &format!("12 backends, {rate} a second"), shape);
+    }
+    group.finish();
+}
+
+criterion_group! {
+    name = benches;
+    config = Criterion::default().sample_size(10).measurement_time(std::time::Duration::from_secs(2));
+    targets = decisions
+}
+criterion_main!(benches);
--- /dev/null
+++ b/tests/recorded.rs
@@ -0,0 +1,60 @@
+//! The same events give the same actions as in the build that was recorded. Caches, indexes and queues are there
+//! to decide sooner, never otherwise.
+//!
+//! Where a change means to decide otherwise, `RECORD=1 cargo test --test recorded` writes the record anew; say
+//! in the commit which decisions moved, and why.
+
+#[path = "common/world.rs"]
+mod world;
+
+use std::fmt::Write;
+
+use brookfield::Weights;
+use world::{Shape, World};
+
+const MS: u64 = 1_000_000;
+const RECORD: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/tests/recorded.txt");
+
+/// Calm and overloaded; few nodes and many; failures, churn, reports, live weights.
+fn shapes() -> Vec<Shape> {
+    let mut shapes = Vec::new();
+    for seed in 0..3 {
+        let base = Shape { seed, ..Shape::default() };
+        let rough = Shape { failing: 30, churn: 400 * MS, ..base };
+        shapes.extend([
+            base,
+            Shape { rate: 400, ..base },
+            Shape { rate: 300, ..rough },
+            Shape { reports: true, rate: 250, ..rough },
+            Shape { nodes: 1, zones: 1, backends: 1, rate: 40, ..rough },
+            Shape { nodes: 300, rate: 20, backends: 60, ..rough },
+            Shape { nodes: 300, rate: 50, backends: 60, weights: Weights::Live, ..base },
+            Shape { nodes: 300, rate: 50, backends: 60, weights: Weights::Live, reports: true, ..rough },
+            Shape { backends: 200, rate: 3000, work: 150 * MS, reports: seed > 0, ..rough },
+        ]);
+    }
+    shapes
+}
+
+#[test]
+fn the_same_events_give_the_actions_that_were_recorded() {
+    let mut played = String::new();
+    for shape in shapes() {
+        let mut world = World::new(shape);
+        write!(played, "{shape:?}:").unwrap();
+        // A digest every so often shows where two builds part.
+        for part in 1..=8 {
+            world.run(part * 400);
+            write!(played, " {:016x}", world.digest).unwrap();
+        }
+        writeln!(played, " sends {} refusals {}", world.sends, world.refusals).unwrap();
+    }
+    if std::env::var_os("RECORD").is_some() {
+        std::fs::write(RECORD, &played).unwrap();
+    }
+    let recorded = std::fs::read_to_string(RECORD).expect("a record");
+    assert_eq!(recorded.lines().count(), played.lines().count(), "worlds recorded and played");
+    for (was, is) in recorded.lines().zip(played.lines()) {
+        assert_eq!(was, is, "decided otherwise than recorded");
+    }
+}
