--- a/src/learning.rs
+++ b/src/learning.rs
@@ -8,6 +8,12 @@
     /// What this node serves of each unit of used capacity, by zone, so that the shares of all nodes add up
     /// to one capacity. It falls slowly: in a jam little is served, and cold backends are the way out of it.
     pub(crate) fn measure_capacity(&mut self) {
+        // With very many backends only every so often, by as much more.
+        let turns = 1 + self.backends.len() / 1024;
+        self.refreshes += 1;
+        if !self.refreshes.is_multiple_of(turns) {
+            return;
+        }
         let mut sums = vec![(0.0, 0.0); self.zones.len()];
         let (now, rules) = (self.now, &self.settings.rules);
         let warm = |b: &&Backend| b.ramp(now, rules) >= 1.0 && b.util.younger_than(now, UTIL_TRUST);
@@ -20,7 +26,8 @@
         let all = unit(sums.iter().fold((0.0, 0.0), |all, sum| (all.0 + sum.0, all.1 + sum.1)));
         for (zone, sum) in self.zones.iter_mut().zip(sums) {
             let change = unit(sum).max(all / f64::from(self.settings.nodes)) - zone.capacity;
-            zone.capacity += change * if change > 0.0 { CAPACITY_RISE } else { CAPACITY_FALL };
+            let step = turns as f64 * if change > 0.0 { CAPACITY_RISE } else { CAPACITY_FALL };
+            zone.capacity += change * step.min(1.0);
         }
     }
 
@@ -29,6 +36,8 @@
         let Some(backend) = self.backends.get_mut(&id) else { return };
         if let Some(util) = report.util.filter(|util| (0.0..=UTIL_MOST).contains(util)) {
             backend.util.feed(self.now, util, UTIL_SMOOTHING, 0.05);
+            let zone = backend.member.zone;
+            self.unsettle(zone);
         }
     }
 
@@ -76,6 +85,10 @@
         let served = settled.outcome == Outcome::Served;
         let Some(backend) = self.backends.get_mut(&id) else { return };
         backend.in_flight = backend.in_flight.saturating_sub(1);
+        if backend.health != Health::Healthy {
+            let zone = backend.member.zone;
+            self.unsettle(zone);
+        }
         // Against a time that is not known yet every backend would look slow, for seconds.
         let known = served && self.learn_times(class, load, ratio);
         let Some(backend) = self.backends.get_mut(&id) else { return };
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,9 +3,11 @@
 #![doc = include_str!("../README.md")]
 
 pub mod api;
+mod held;
 mod learning;
 mod policy;
 mod state;
+mod view;
 
 pub use api::*;
 pub use state::Balancer;
--- a/src/policy/admission.rs
+++ b/src/policy/admission.rs
@@ -1,7 +1,10 @@
 //! Admission: what is sent now, held for a moment, or turned away.
 
+use std::collections::BTreeSet;
+
 use super::figures::*;
 use crate::api::*;
+use crate::held;
 use crate::state::*;
 
 impl Balancer {
@@ -12,22 +15,38 @@
         let end = if late { request.not_after } else { request.aim_end };
         let left = end.saturating_sub(self.now) as f64;
         let slowness = backend.slowness(self.now, &self.settings.rules);
+        if self.is_free(slowness, backend) {
+            return true;
+        }
         let load = backend.load(self.crowd());
-        let view = &self.classes[request.class];
+        load <= self.load_within(request.class, self.share(request) * left / slowness)
+            && self.leaves_room(request.class, request.over, slowness, load, backend)
+    }
+
+    /// What `admits` asks that does not depend on the request's own time.
+    fn uncrowded(&self, class: usize, over: bool, backend: &Backend) -> bool {
+        let slowness = backend.slowness(self.now, &self.settings.rules);
+        self.is_free(slowness, backend)
+            || self.leaves_room(class, over, slowness, backend.load(self.crowd()), backend)
+    }
+
+    fn is_free(&self, slowness: f64, backend: &Backend) -> bool {
         // With many nodes, all would pile onto the few backends that a late figure shows as free.
         let idle = backend.in_flight == 0 && (slowness < IDLE_SLOW || self.many());
         // Where there is room by its own report, a client with little time takes it from nobody.
         let roomy = backend.util.younger_than(self.now, UTIL_TRUST) && backend.util.value < ROOMY;
-        let idle = idle || (roomy && !self.many() && f64::from(backend.in_flight) < backend.size());
-        let share = self.share(request);
-        let fits = load <= self.load_within(request.class, share * left / slowness);
+        idle || (roomy && !self.many() && f64::from(backend.in_flight) < backend.size())
+    }
+
+    fn leaves_room(&self, class: usize, over: bool, slowness: f64, load: f64, backend: &Backend) -> bool {
+        let view = &self.classes[class];
         // A cold one's budget is its bound: what it lacks yet is no sign of a crowd.
         let crowd = slowness * backend.ramp(self.now, &self.settings.rules) * load;
         // What is beyond its tenant's share leaves room for what is not.
-        let room = if request.over && !self.many() { view.room * PRECEDENCE } else { view.room };
+        let room = if over && !self.many() { view.room * PRECEDENCE } else { view.room };
         // One request crowds no backend: with none there, no answer would show that it is well again.
         let alone = backend.in_flight == 0 && !self.many();
-        idle || (fits && (alone || crowd <= room))
+        alone || crowd <= room
     }
 
     /// Share of the time left that a send's expected delay may take.
@@ -42,44 +61,64 @@
         {
             return;
         }
-        if let Some(request) = self.requests.get_mut(&id).filter(|r| r.phase == Phase::Open) {
-            request.phase = Phase::Held;
-            self.held.push(id);
+        if self.requests.get(&id).is_some_and(|r| r.phase == Phase::Open) {
+            self.stand(id, Phase::Held);
         }
     }
 
-    /// Sends what is held as room appears, the worthiest first.
+    /// Sends what is held as room appears, the worthiest first. Looks at what it sends and nine more at most.
     pub(super) fn pump(&mut self, actions: &mut Vec<Action>) {
-        let over = self.settings.over_share_worth;
-        let worth = |r: &Request| self.classes[r.class].value * if r.over { over } else { 1.0 };
-        let valued = |&id| self.requests.get(&id).map(|r| (worth(r), id));
-        let mut order: Vec<(f64, RequestId)> = self.held.iter().filter_map(valued).collect();
-        order.sort_by(|a, b| b.0.total_cmp(&a.0).then(a.1.cmp(&b.1)));
+        if self.held.is_empty() {
+            return;
+        }
+        let worth = |band: usize| {
+            let over = if band % 2 == 1 { self.settings.over_share_worth } else { 1.0 };
+            self.classes[band / 2].value * over
+        };
+        // Each band's worth, its next request, and whether no backend has room for any of it.
+        let bands = (0..2 * self.classes.len()).filter_map(|band| Some((band, self.held.next(band, None)?)));
+        let mut bands: Vec<(f64, RequestId, usize, bool)> =
+            bands.map(|(band, first)| (worth(band), first, band, false)).collect();
         let mut misses = 0;
-        for (_, id) in order {
-            let sent = self.choose(id).is_some_and(|to| self.send(id, to, actions));
-            misses += usize::from(!sent);
-            if misses > 8 {
-                break;
+        while misses <= 8
+            && let Some(at) = (0..bands.len())
+                .min_by(|&a, &b| bands[b].0.total_cmp(&bands[a].0).then(bands[a].1.cmp(&bands[b].1)))
+        {
+            let (_, id, band, crowded) = bands[at];
+            let sent = !crowded && self.choose(id).is_some_and(|to| self.send(id, to, actions));
+            if !sent {
+                misses += 1;
+                // Sends only take room away: what has none now has none for the rest of this.
+                bands[at].3 = crowded || !self.has_room(band / 2, band % 2 == 1);
+            }
+            match self.held.next(band, Some(id)) {
+                Some(next) => bands[at].1 = next,
+                None => drop(bands.swap_remove(at)),
             }
         }
     }
 
+    /// Whether some backend might be sent a request of this class, whatever time it has left.
+    fn has_room(&self, class: usize, over: bool) -> bool {
+        let takes = |b: &Backend| self.usable(b) && self.uncrowded(class, over, b);
+        self.many() || self.backends.len() > SCAN || self.backends.values().any(takes)
+    }
+
     /// Ends at once what no backend would be sent any more, as it could not answer in time; and what was
     /// never sent, while a refusal is still early.
     pub(super) fn expire(&mut self, actions: &mut Vec<Action>) {
-        let tick = self.tick();
-        let late = |request: &Request| {
-            let share = self.share(request);
-            let least = (self.delay(request.class, IDLE_LOAD) / share) as Nanos + tick;
-            let unsent = |a: &Attempt| matches!(a.outcome, Some(Outcome::ConnectFailed | Outcome::Moot));
-            let end = if request.attempts.iter().all(unsent) { request.half } else { request.not_after };
-            request.phase == Phase::Held
-                && !request.attempts.iter().any(Attempt::out)
-                && (self.now + least >= request.aim_end || self.now + tick >= end)
-        };
-        let is_late = |id: &RequestId| self.requests.get(id).is_some_and(late);
-        for id in self.held.iter().copied().filter(is_late).collect::<Vec<_>>() {
+        if self.held.is_empty() {
+            return;
+        }
+        let (tick, mut late) = (self.tick(), BTreeSet::new());
+        for class in 0..self.classes.len() {
+            for (again, share) in [(false, ADMIT), (true, ADMIT_AGAIN)] {
+                let least = (self.delay(class, IDLE_LOAD) / share) as Nanos + tick;
+                self.held.aims_by(held::aim(class, again), self.now + least, &mut late);
+            }
+        }
+        self.held.ends_by(self.now + tick, &mut late);
+        for (_, id) in late {
             self.end(id, self.settings.limits.retry_after, actions);
         }
     }
--- a/src/policy/discovery.rs
+++ b/src/policy/discovery.rs
@@ -1,7 +1,5 @@
 //! The list of backends, what its weights say, and when discovery is asked again.
 
-use std::collections::BTreeSet;
-
 use super::figures::*;
 use crate::api::*;
 use crate::state::*;
@@ -49,6 +47,7 @@
             backend.bias = (backend.bias * step.exp()).clamp(BIAS.0, BIAS.1);
             backend.util.feed(self.now, held / (1.0 + held), UTIL_SMOOTHING, 0.05);
         }
+        self.sums.iter().for_each(|sum| sum.set(None));
         self.share_out();
     }
 
@@ -57,44 +56,4 @@
         self.ask_failures += 1;
         self.ask_at = Some(self.now + wait as Nanos);
     }
-
-    /// Takes a list in: backends come, change and go, and the `subset` lowest lots of each zone are found.
-    pub(crate) fn take_list(&mut self, scope: ListScope, members: Vec<Member>, subset: usize) {
-        if scope != ListScope::Changes {
-            let named: BTreeSet<BackendId> = members.iter().map(|member| member.backend).collect();
-            for backend in self.backends.values_mut() {
-                if !named.contains(&backend.member.backend) {
-                    backend.member.stage = Stage::Gone;
-                }
-            }
-        }
-        let live = self.settings.weights == Weights::Live;
-        for member in members.iter().filter(|member| live && member.size.is_finite()) {
-            let known = self.kind_size.entry(member.kind).or_insert(0.0);
-            *known = known.max(member.size);
-        }
-        for mut member in members {
-            let told = member.size;
-            if live {
-                member.size = self.kind_size.get(&member.kind).copied().unwrap_or(1.0);
-            }
-            let backend = self.backends.entry(member.backend).or_insert_with(|| Backend::new(member));
-            if backend.member.online_since != member.online_since {
-                let in_flight = backend.in_flight;
-                *backend = Backend { in_flight, ..Backend::new(member) };
-            }
-            backend.member = member;
-            backend.lot = mix(self.seed ^ u64::from(member.backend.0).wrapping_mul(0xd6e8_feb8_6659_fd93));
-            backend.held = (live && told > 0.0).then(|| (member.size / told - 1.0).max(0.0));
-        }
-        self.backends.retain(|_, backend| backend.member.stage != Stage::Gone || backend.in_flight > 0);
-        for (zone, view) in self.zones.iter_mut().enumerate() {
-            let listed =
-                |b: &&Backend| b.member.zone.0 as usize == zone && b.member.stage == Stage::InService;
-            let mut lots: Vec<u64> = self.backends.values().filter(listed).map(|b| b.lot).collect();
-            lots.sort_unstable();
-            view.listed = lots.len() as f64;
-            view.subset = lots.get(subset - 1).copied().unwrap_or(u64::MAX);
-        }
-    }
 }
--- a/src/policy/figures.rs
+++ b/src/policy/figures.rs
@@ -101,3 +101,8 @@
 pub(crate) const COST_SMOOTHING: f64 = 0.01;
 /// First wait after a failed call to discovery; doubled up to 2^4, jittered.
 pub(crate) const ASK_AGAIN: Nanos = 300 * MS;
+/// Up to so many backends are looked at one by one for a request; of more in a zone only a sample is, and
+/// what is known of all together is renewed with the overflow target. The best of 32 drawn by chance is
+/// among the best tenth of all in 97 of 100 draws.
+pub(crate) const SCAN: usize = 128;
+pub(crate) const SAMPLE: usize = 32;
--- a/src/policy/health.rs
+++ b/src/policy/health.rs
@@ -5,7 +5,7 @@
 use crate::state::*;
 
 impl Balancer {
-    pub(super) fn usable(&self, backend: &Backend) -> bool {
+    pub(crate) fn usable(&self, backend: &Backend) -> bool {
         if self.now < backend.full_until {
             return false;
         }
@@ -16,6 +16,15 @@
         }
     }
 
+    /// When the time, and nothing else, makes a backend usable next.
+    pub(crate) fn usable_changes(&self, backend: &Backend) -> Option<Nanos> {
+        let ejected = match backend.health {
+            Health::Ejected { until } => until,
+            _ => 0,
+        };
+        [backend.full_until, ejected].into_iter().filter(|&until| until > self.now).min()
+    }
+
     /// Ejects an outlier, readmits after two served trials.
     pub(super) fn judge(&mut self, id: BackendId, outcome: Outcome, actions: &mut Vec<Action>) {
         let weight = match outcome {
@@ -27,6 +36,11 @@
         };
         let turned_away = outcome == Outcome::Full || (outcome == Outcome::ConnectFailed && self.many());
         let Some(backend) = self.backends.get_mut(&id) else { return };
+        let (zone, sound) = (backend.member.zone, backend.health == Health::Healthy);
+        if turned_away || !sound {
+            self.unsettle(zone);
+        }
+        let Some(backend) = self.backends.get_mut(&id) else { return };
         // Sent away at once, again and again, a backend looks idle and would draw all traffic. With many
         // nodes a refused connection may mean a full table just as well as a dead process.
         if turned_away {
@@ -44,6 +58,7 @@
                 Health::HalfOpen { served: 0 } => backend.health = Health::HalfOpen { served: 1 },
                 Health::HalfOpen { .. } => {
                     backend.health = Health::Healthy;
+                    self.ejected = self.ejected.saturating_sub(1);
                     backend.ejections = backend.ejections.saturating_sub(1);
                     self.log(actions, || format!("backend {} readmitted: trials served", id.0));
                 }
@@ -52,9 +67,12 @@
             return;
         }
         backend.failed_in_row += weight;
-        let listed = self.backends.values().filter(|b| b.member.stage == Stage::InService).count() as f64;
-        let ejected = self.backends.values().filter(|b| b.health != Health::Healthy).count() as f64;
-        let failing = self.backends.values().map(|b| b.failing.value).sum::<f64>() / listed.max(1.0);
+        let (listed, ejected) = (self.in_service as f64, self.ejected as f64);
+        // The sum over very many is made no more often than the overflow target is.
+        if self.backends.len() <= SCAN || self.now >= self.failing.1 + REFRESH {
+            self.failing = (self.backends.values().map(|b| b.failing.value).sum(), self.now);
+        }
+        let failing = self.failing.0 / listed.max(1.0);
         let Some(backend) = self.backends.get_mut(&id) else { return };
         let outlier = backend.failed_in_row >= EJECT_AFTER && backend.failing.value > 2.0 * failing.min(0.4);
         let failed_trial = told == 1.0 && matches!(backend.health, Health::HalfOpen { .. });
@@ -63,7 +81,9 @@
             let span = EJECT_FOR << backend.ejections.min(5);
             backend.ejections += 1;
             backend.failed_in_row = 0;
+            self.ejected += usize::from(backend.health == Health::Healthy);
             backend.health = Health::Ejected { until: self.now + span };
+            self.unsettle(zone);
             self.log(actions, || format!("backend {} ejected for {} ms: {outcome:?}", id.0, span / MS));
         }
     }
--- a/src/policy/ledger.rs
+++ b/src/policy/ledger.rs
@@ -39,6 +39,7 @@
             not_after: arrival.not_after,
             attempts: Vec::new(),
             phase: Phase::Open,
+            hold: None,
             over: false,
         };
         self.requests.insert(arrival.request, request);
@@ -69,26 +70,36 @@
 
     /// The contract gate: whether this request may be sent to this backend now. Every send passes it.
     pub(super) fn permits(&self, request: &Request, backend: &Backend) -> bool {
-        let class = &self.settings.classes[request.class];
+        // A wanted margin to the drain grace: nothing is sent once told.
+        let in_service = backend.member.stage == Stage::InService;
+        in_service
+            && self.may_go(request)
+            && self.may_go_to(request, backend)
+            && self.cold_budget(backend, request)
+    }
+
+    /// What the gate asks of the request alone.
+    pub(super) fn may_go(&self, request: &Request) -> bool {
         let live = matches!(request.phase, Phase::Open | Phase::Held) && self.now < request.not_after;
         let attempts_left = (request.attempts.len() as u32) < self.settings.limits.attempts;
         let alone = self.settings.limits.second_copies || !request.attempts.iter().any(Attempt::out);
+        let once = self.settings.classes[request.class].effect == Effect::Once;
+        live && attempts_left && alone && !(once && request.attempts.iter().any(Attempt::may_have_run))
+    }
+
+    fn may_go_to(&self, request: &Request, backend: &Backend) -> bool {
         let ran = request.attempts.iter().find(|attempt| attempt.may_have_run());
-        let repeat_dropped = match (class.effect, ran) {
-            (Effect::Repeatable, _) | (_, None) => true,
-            (Effect::Once, Some(_)) => false,
-            (Effect::Keyed { group, window }, Some(first)) => {
-                let same = match group {
-                    Group::All => true,
-                    Group::Zone => first.zone == backend.member.zone,
-                    Group::Cell => first.cell == backend.member.cell,
-                };
-                same && self.now + self.settings.quantum < first.sent.saturating_add(window)
-            }
+        let (Effect::Keyed { group, window }, Some(first)) =
+            (self.settings.classes[request.class].effect, ran)
+        else {
+            return true;
         };
-        // A wanted margin to the drain grace: nothing is sent once told.
-        let in_service = backend.member.stage == Stage::InService;
-        live && attempts_left && alone && repeat_dropped && in_service && self.cold_budget(backend, request)
+        let same = match group {
+            Group::All => true,
+            Group::Zone => first.zone == backend.member.zone,
+            Group::Cell => first.cell == backend.member.cell,
+        };
+        same && self.now + self.settings.quantum < first.sent.saturating_add(window)
     }
 
     /// The one place that sends. False where the gate forbids it.
@@ -97,10 +108,10 @@
         if !gate.is_some_and(|(request, backend)| self.permits(request, backend)) {
             return false;
         }
+        self.stand(id, Phase::Open);
         let (Some(request), Some(backend)) = (self.requests.get_mut(&id), self.backends.get_mut(&to)) else {
             return false;
         };
-        request.phase = Phase::Open;
         request.attempts.push(Attempt {
             backend: to,
             zone: backend.member.zone,
@@ -118,6 +129,9 @@
         if let Health::Ejected { .. } = backend.health {
             backend.health = Health::HalfOpen { served: 0 };
         }
+        if backend.health != Health::Healthy {
+            self.unsettle(zone);
+        }
         // Past its aim an answer may be worth nothing: then a server need not work on it. With few nodes what
         // is admitted by own figures hardly waits that long, and the repeats cost more.
         let late_share = self.settings.classes[class].late_share;
@@ -158,8 +172,8 @@
 
     /// Marks a request as ended; it is dropped once its last attempt has settled.
     pub(super) fn forget(&mut self, id: RequestId) {
-        let Some(request) = self.requests.get_mut(&id) else { return };
-        request.phase = Phase::Ended;
+        self.stand(id, Phase::Ended);
+        let Some(request) = self.requests.get(&id) else { return };
         if !request.attempts.iter().any(Attempt::out) {
             self.requests.remove(&id);
         }
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -1,5 +1,6 @@
 //! Every decision of brookfield, a file for each concern. The interface (settings, events, actions, ids) is
-//! in `api.rs`, what a node keeps in `state.rs`, what it learns from answers in `learning.rs`.
+//! in `api.rs`, what a node keeps in `state.rs`, its view of the backends in `view.rs`, what it learns from
+//! answers in `learning.rs`.
 //!
 //! Reading order: `handle` here shows what each event sets off; then `ledger` with the contract gate,
 //! `backends`, `zones`, which is the design, `pick`, `health`, `slow_start`, `admission`, `retries`,
@@ -16,58 +17,11 @@
 mod slow_start;
 mod zones;
 
-use std::collections::BTreeMap;
-
 use crate::api::*;
 use crate::state::*;
 use figures::*;
 
 impl Balancer {
-    /// A node that knows nothing yet. `seed` drives its jitter.
-    pub fn new(settings: Settings, seed: u64, now: Nanos) -> Result<Self, SettingsError> {
-        settings.validate()?;
-        let zones = vec![Zone { taken: 1.0, ..Zone::default() }; settings.zones as usize];
-        let view = |class: &ClassSettings| ClassView {
-            idle: class.aim as f64 / 16.0 * IDLE_LOAD,
-            room: f64::INFINITY,
-            admit: 1.0,
-            ..Default::default()
-        };
-        let least =
-            settings.classes.iter().map(|class| class.aim as f64 / 16.0).fold(f64::INFINITY, f64::min);
-        let classes = settings.classes.iter().map(view).collect();
-        let tenants = vec![Rate::default(); settings.tenants.len()];
-        Ok(Self {
-            settings,
-            tenants,
-            over_admit: 1.0,
-            short: Rate::default(),
-            unserved: Rate::default(),
-            seed,
-            random: seed ^ 0x9e37_79b9_7f4a_7c15,
-            now,
-            requests: BTreeMap::new(),
-            held: Vec::new(),
-            backends: BTreeMap::new(),
-            zones,
-            classes,
-            base: least,
-            samples: 0.0,
-            overflow: Vec::new(),
-            qualified: 0,
-            refresh_at: now,
-            retry_tokens: 1.0,
-            ask_at: None,
-            ask_failures: 0,
-            log_at: 0,
-            armed: None,
-            kind_size: BTreeMap::new(),
-            listed_at: None,
-            list_period: 1.0,
-            share_at: 0,
-        })
-    }
-
     /// Takes one event in and adds what is to be done. A clock that steps back stands still.
     pub fn handle(&mut self, now: Nanos, event: Event, actions: &mut Vec<Action>) {
         self.now = self.now.max(now);
@@ -82,15 +36,11 @@
             Event::FleetFailed => self.ask_later(),
             Event::Request(arrival) => self.arrive(arrival, actions),
             Event::Settled(settlement) => self.settle(settlement, actions),
-            Event::Started { request } => {
-                let open = self.requests.get_mut(&request).filter(|r| r.phase != Phase::Ended);
-                open.into_iter().for_each(|r| r.phase = Phase::Streaming);
-            }
+            Event::Started { request } => self.stand(request, Phase::Streaming),
             Event::Probed { backend, report, .. } => self.report(backend, report),
             Event::ClientGone { request } => self.forget(request),
             Event::Timer { .. } => self.housekeeping(actions),
         }
-        self.held.retain(|id| self.requests.get(id).is_some_and(|request| request.phase == Phase::Held));
         self.arm(actions);
     }
 
--- a/src/policy/pick.rs
+++ b/src/policy/pick.rs
@@ -9,20 +9,33 @@
     /// delay; with many one by chance, weighted by size and by what all nodes have been told.
     pub(super) fn pick(&self, id: RequestId, zone: ZoneId) -> Option<BackendId> {
         if !self.many() {
-            return self.pick_among(id, zone, u64::MAX);
+            return self.pick_among(id, self.in_zone.get(zone.0 as usize)?);
         }
         // Many nodes on every backend would fill its table of connections and pay for opening them: each
         // keeps to a few by its own lots, and goes past them only when none of them can take the request.
-        let subset = self.zones.get(zone.0 as usize)?.subset;
-        self.pick_among(id, zone, subset).or_else(|| self.pick_among(id, zone, u64::MAX))
+        let own = &self.subsets.get(zone.0 as usize)?;
+        self.pick_among(id, own).or_else(|| self.pick_among(id, self.in_zone.get(zone.0 as usize)?))
     }
 
-    pub(super) fn pick_among(&self, id: RequestId, zone: ZoneId, subset: u64) -> Option<BackendId> {
+    pub(super) fn pick_among(&self, id: RequestId, members: &[BackendId]) -> Option<BackendId> {
         let (mut best, mut total) = (None, 0.0);
         let request = self.requests.get(&id)?;
         let mut jitter = self.random ^ id.0.wrapping_mul(0xd6e8_feb8_6659_fd93);
-        let within = |b: &Backend| b.member.zone == zone && b.lot <= subset;
-        for (&to, backend) in self.backends.iter().filter(|(_, b)| within(b)) {
+        // Of very many a sample is looked at; where none of it has room, a second one.
+        let few = members.len() <= SCAN;
+        let looks = if few { members.len() } else { 2 * SAMPLE };
+        let mut place = jitter;
+        for look in 0..looks {
+            let at = if few {
+                look
+            } else if look == SAMPLE && best.is_some() {
+                break;
+            } else {
+                place = place.wrapping_add(0x9e37_79b9_7f4a_7c15);
+                (mix(place) % members.len() as u64) as usize
+            };
+            let to = members[at];
+            let Some(backend) = self.backends.get(&to) else { continue };
             if !self.usable(backend) || !self.admits(request, backend) || !self.permits(request, backend) {
                 continue;
             }
--- a/src/policy/retries.rs
+++ b/src/policy/retries.rs
@@ -21,7 +21,10 @@
         let unseen = request.attempts.len() == 1 && !request.attempts[0].may_have_run();
         let again = (self.retry_tokens >= 1.0 || (unseen && self.many())) && !late;
         let pause = if late { self.settings.limits.retry_after } else { 0 };
-        if !again || !self.backends.values().any(|backend| self.permits(request, backend)) {
+        if !again
+            || !self.may_go(request)
+            || !self.backends.values().any(|backend| self.permits(request, backend))
+        {
             self.end(id, pause, actions);
             return;
         }
--- a/src/policy/zones.rs
+++ b/src/policy/zones.rs
@@ -14,13 +14,9 @@
     /// a zone reported full would look free in a moment's lull.
     pub(super) fn utilisation(&self, zone: ZoneId) -> Option<f64> {
         let view = self.zones.get(zone.0 as usize)?;
-        let (mut used, mut size, own) = (0.0, 0.0, view.own);
-        for backend in self.backends.values().filter(|b| b.member.zone == zone) {
-            if self.usable(backend) && backend.util.younger_than(self.now, UTIL_TRUST) {
-                used += backend.util.value * backend.size();
-                size += backend.size();
-            }
-        }
+        let known = self.sums[zone.0 as usize].get().filter(|sum| self.now < sum.until);
+        let ZoneSum { used, size, .. } = known.unwrap_or_else(|| self.sum_up(zone));
+        let own = view.own;
         (size > 0.0).then(|| {
             used / size * ((own + size) / (view.own_before(self.now, UTIL_SMOOTHING) + size)).max(1.0)
         })
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,9 +1,11 @@
 //! What a node keeps: smoothed figures, its requests, and its views of backends, zones and classes.
 //! Plain data and arithmetic; every decision on it is under `policy/`.
 
+use std::cell::Cell;
 use std::collections::{BTreeMap, VecDeque};
 
 use crate::api::*;
+use crate::held::{Held, Hold};
 
 pub(crate) const SECOND: Nanos = 1_000_000_000;
 /// Time constant of the node's own rates: some requests of each of many nodes, yet short against a trouble.
@@ -102,6 +104,8 @@
     pub(crate) not_after: Nanos,
     pub(crate) attempts: Vec<Attempt>,
     pub(crate) phase: Phase,
+    /// Where it stands among those held.
+    pub(crate) hold: Option<Hold>,
     /// Beyond its tenant's share, and worth less.
     pub(crate) over: bool,
 }
@@ -173,6 +177,14 @@
     pub(crate) spilling: bool,
 }
 
+/// The reported use of a zone's usable backends, by size, and the time up to which nothing changes it but events.
+#[derive(Clone, Copy)]
+pub(crate) struct ZoneSum {
+    pub(crate) used: f64,
+    pub(crate) size: f64,
+    pub(crate) until: Nanos,
+}
+
 /// A class as this node sees it.
 #[derive(Clone, Copy, Default)]
 pub(crate) struct ClassView {
@@ -214,9 +226,22 @@
     pub(crate) random: u64,
     pub(crate) now: Nanos,
     pub(crate) requests: BTreeMap<RequestId, Request>,
-    pub(crate) held: Vec<RequestId>,
+    pub(crate) held: Held,
     pub(crate) backends: BTreeMap<BackendId, Backend>,
     pub(crate) zones: Vec<Zone>,
+    /// The backends of each zone, by id.
+    pub(crate) in_zone: Vec<Vec<BackendId>>,
+    /// Those of each zone with the lowest of this node's lots.
+    pub(crate) subsets: Vec<Vec<BackendId>>,
+    /// Backends that take requests, those that are not healthy, and the sum of what fails of each with when it
+    /// was last made.
+    pub(crate) in_service: usize,
+    pub(crate) ejected: usize,
+    pub(crate) failing: (f64, Nanos),
+    /// Refreshes so far.
+    pub(crate) refreshes: usize,
+    /// What is known of each zone's use, as long as it holds.
+    pub(crate) sums: Vec<Cell<Option<ZoneSum>>>,
     pub(crate) classes: Vec<ClassView>,
     /// Time that each request of a backend's load adds to an answer, where its cores are the bottleneck.
     pub(crate) base: f64,
--- /dev/null
+++ b/src/view.rs
@@ -0,0 +1,177 @@
+//! A node's view of what there is: how it begins, which backends the list names, how much of a zone is in use, and
+//! which requests are held. It is kept up here, in step with the events, so that no decision has to walk
+//! everything; what follows from it is decided under `policy/`.
+
+use std::cell::Cell;
+use std::collections::{BTreeMap, BTreeSet};
+
+use crate::api::*;
+use crate::held::{self, Held};
+use crate::policy::figures::*;
+use crate::state::*;
+
+impl Balancer {
+    /// A node that knows nothing yet. `seed` drives its jitter.
+    pub fn new(settings: Settings, seed: u64, now: Nanos) -> Result<Self, SettingsError> {
+        settings.validate()?;
+        let zones = vec![Zone { taken: 1.0, ..Zone::default() }; settings.zones as usize];
+        let view = |class: &ClassSettings| ClassView {
+            idle: class.aim as f64 / 16.0 * IDLE_LOAD,
+            room: f64::INFINITY,
+            admit: 1.0,
+            ..Default::default()
+        };
+        let least =
+            settings.classes.iter().map(|class| class.aim as f64 / 16.0).fold(f64::INFINITY, f64::min);
+        let classes = settings.classes.iter().map(view).collect();
+        let tenants = vec![Rate::default(); settings.tenants.len()];
+        let held = Held::new(settings.classes.len());
+        let in_zone = vec![Vec::new(); settings.zones as usize];
+        let sums = vec![Cell::new(None); settings.zones as usize];
+        Ok(Self {
+            settings,
+            tenants,
+            over_admit: 1.0,
+            short: Rate::default(),
+            unserved: Rate::default(),
+            seed,
+            random: seed ^ 0x9e37_79b9_7f4a_7c15,
+            now,
+            requests: BTreeMap::new(),
+            held,
+            in_zone: in_zone.clone(),
+            subsets: in_zone,
+            in_service: 0,
+            ejected: 0,
+            failing: (0.0, 0),
+            refreshes: 0,
+            sums,
+            backends: BTreeMap::new(),
+            zones,
+            classes,
+            base: least,
+            samples: 0.0,
+            overflow: Vec::new(),
+            qualified: 0,
+            refresh_at: now,
+            retry_tokens: 1.0,
+            ask_at: None,
+            ask_failures: 0,
+            log_at: 0,
+            armed: None,
+            kind_size: BTreeMap::new(),
+            listed_at: None,
+            list_period: 1.0,
+            share_at: 0,
+        })
+    }
+
+    /// Takes a list in: backends come, change and go, and the `subset` lowest lots of each zone are found.
+    pub(crate) fn take_list(&mut self, scope: ListScope, members: Vec<Member>, subset: usize) {
+        if scope != ListScope::Changes {
+            let named: BTreeSet<BackendId> = members.iter().map(|member| member.backend).collect();
+            for backend in self.backends.values_mut() {
+                if !named.contains(&backend.member.backend) {
+                    backend.member.stage = Stage::Gone;
+                }
+            }
+        }
+        let live = self.settings.weights == Weights::Live;
+        for member in members.iter().filter(|member| live && member.size.is_finite()) {
+            let known = self.kind_size.entry(member.kind).or_insert(0.0);
+            *known = known.max(member.size);
+        }
+        for mut member in members {
+            let told = member.size;
+            if live {
+                member.size = self.kind_size.get(&member.kind).copied().unwrap_or(1.0);
+            }
+            let backend = self.backends.entry(member.backend).or_insert_with(|| Backend::new(member));
+            if backend.member.online_since != member.online_since {
+                let in_flight = backend.in_flight;
+                *backend = Backend { in_flight, ..Backend::new(member) };
+            }
+            backend.member = member;
+            backend.lot = mix(self.seed ^ u64::from(member.backend.0).wrapping_mul(0xd6e8_feb8_6659_fd93));
+            backend.held = (live && told > 0.0).then(|| (member.size / told - 1.0).max(0.0));
+        }
+        self.backends.retain(|_, backend| backend.member.stage != Stage::Gone || backend.in_flight > 0);
+        self.in_zone.iter_mut().for_each(Vec::clear);
+        for (&id, backend) in &self.backends {
+            let members = self.in_zone.get_mut(backend.member.zone.0 as usize);
+            members.into_iter().for_each(|members| members.push(id));
+        }
+        self.sums.iter().for_each(|sum| sum.set(None));
+        let in_service = |b: &&Backend| b.member.stage == Stage::InService;
+        self.in_service = self.backends.values().filter(in_service).count();
+        self.ejected = self.backends.values().filter(|b| b.health != Health::Healthy).count();
+        for ((view, members), own) in self.zones.iter_mut().zip(&self.in_zone).zip(&mut self.subsets) {
+            let of = |id: &BackendId| self.backends.get(id);
+            let mut lots: Vec<u64> =
+                members.iter().filter_map(of).filter(in_service).map(|b| b.lot).collect();
+            view.listed = lots.len() as f64;
+            view.subset = match subset.checked_sub(1).filter(|&last| last < lots.len()) {
+                Some(last) => *lots.select_nth_unstable(last).1,
+                None => u64::MAX,
+            };
+            own.clear();
+            own.extend(members.iter().filter(|id| of(id).is_some_and(|b| b.lot <= view.subset)));
+        }
+    }
+
+    /// Sums the reports of a zone's usable backends up, and keeps the sum until the time changes it; events that
+    /// do call `unsettle`.
+    pub(crate) fn sum_up(&self, zone: ZoneId) -> ZoneSum {
+        let members = &self.in_zone[zone.0 as usize];
+        let mut sum = ZoneSum { used: 0.0, size: 0.0, until: Nanos::MAX };
+        let mut add = |backend: &Backend| {
+            if let Some(change) = self.usable_changes(backend) {
+                sum.until = sum.until.min(change);
+            }
+            if self.usable(backend) && backend.util.younger_than(self.now, UTIL_TRUST) {
+                sum.until = sum.until.min(backend.util.at.unwrap_or(self.now) + UTIL_TRUST);
+                sum.used += backend.util.value * backend.size();
+                sum.size += backend.size();
+            }
+        };
+        if members.len() > SCAN {
+            // One walk through all is quicker than as many look-ups.
+            self.backends.values().filter(|backend| backend.member.zone == zone).for_each(add);
+            sum.until = sum.until.min(self.now + REFRESH);
+        } else {
+            members.iter().filter_map(|id| self.backends.get(id)).for_each(&mut add);
+        }
+        self.sums[zone.0 as usize].set(Some(sum));
+        sum
+    }
+
+    /// Something has changed what is known of a zone's use. That of a large one stands until its time is over:
+    /// it would be summed up for every answer otherwise.
+    pub(crate) fn unsettle(&self, zone: ZoneId) {
+        if self.in_zone.get(zone.0 as usize).is_some_and(|members| members.len() <= SCAN) {
+            self.sums[zone.0 as usize].set(None);
+        }
+    }
+
+    /// Notes where a request stands from now on; one that is held no longer leaves the orders of those that
+    /// are. What has ended stays ended.
+    pub(crate) fn stand(&mut self, id: RequestId, phase: Phase) {
+        let Some(request) = self.requests.get_mut(&id).filter(|r| r.phase != Phase::Ended) else { return };
+        request.phase = phase;
+        let unsent = |a: &Attempt| matches!(a.outcome, Some(Outcome::ConnectFailed | Outcome::Moot));
+        match (phase, request.hold) {
+            (Phase::Held, None) => {
+                let never_sent = request.attempts.iter().all(unsent);
+                let end = if never_sent { request.half } else { request.not_after };
+                let (band, again) = (held::band(request.class, request.over), !request.attempts.is_empty());
+                let aim = held::aim(request.class, again);
+                request.hold = Some(self.held.put(id, band, aim, request.aim_end, end));
+            }
+            (Phase::Held, _) | (_, None) => {}
+            (_, Some(hold)) => {
+                request.hold = None;
+                self.held.take(id, hold);
+            }
+        }
+    }
+}
