--- a/settings/src/lib.rs
+++ b/settings/src/lib.rs
@@ -8,7 +8,7 @@
 use std::collections::HashMap;
 
 use brookfield::{
-    ClassSettings, Discovery, Effect, Group, Limits, Nanos, RuleFigures, Settings, Weights, ZoneId,
+    ClassSettings, Discovery, Effect, Group, Limits, Nanos, Reports, RuleFigures, Settings, Weights, ZoneId,
 };
 use serde_json::Value;
 
@@ -147,6 +147,14 @@
             Some("live") => Weights::Live,
             _ => Weights::Size,
         },
+        reports: match map.get("report").and_then(|report| report.get("how")).and_then(Value::as_str) {
+            Some("pull") => Reports::Pull,
+            Some("piggyback") => Reports::Piggyback,
+            _ => Reports::Silent,
+        },
+        probe_price: map.get("prices").and_then(|prices| prices.get("probe")).map_or(Ok(0.0), |price| {
+            price.as_f64().ok_or_else(|| "prices: field probe is of the wrong type".to_owned())
+        })?,
         limits: Limits {
             attempts: u32::try_from(limits.whole("attempts-cap")?).unwrap_or(u32::MAX),
             second_copies: flag("second-copies"),
--- a/src/api.rs
+++ b/src/api.rs
@@ -92,6 +92,17 @@
     Live,
 }
 
+/// How a backend's load reports reach the node.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Reports {
+    /// With answers, and with the ends of probes.
+    Piggyback,
+    /// With the ends of probes only.
+    Pull,
+    /// Not at all.
+    Silent,
+}
+
 /// Limits that the site sets.
 #[derive(Clone, Copy, Debug)]
 pub struct Limits {
@@ -145,6 +156,10 @@
     pub discovery: Discovery,
     /// What the list's sizes stand for.
     pub weights: Weights,
+    /// How load reports arrive.
+    pub reports: Reports,
+    /// What one probe for each request would cost, as a part of the goal; 0 for nothing.
+    pub probe_price: f64,
     /// The site's limits.
     pub limits: Limits,
     /// The figures of the rules.
@@ -171,6 +186,8 @@
             over_share_worth: 1.0,
             discovery: Discovery::Pushed,
             weights: Weights::Size,
+            reports: Reports::Silent,
+            probe_price: 0.0,
             limits: Limits { attempts: 3, second_copies: true, probes: false, cancel: true, retry_after: 0 },
             rules: RuleFigures {
                 answer_slack: 20_000_000,
@@ -227,6 +244,9 @@
         if !rate(self.over_share_worth) {
             return fail("over_share_worth", "must be finite and not negative");
         }
+        if !rate(self.probe_price) {
+            return fail("probe_price", "must be finite and not negative");
+        }
         if !rate(self.worst_class_goal) {
             return fail("worst_class_goal", "must be finite and not negative");
         }
--- a/src/learning.rs
+++ b/src/learning.rs
@@ -99,6 +99,7 @@
                     backend.slow.feed(self.now, slow, SLOW_SMOOTHING, 0.1);
                 }
                 backend.served.add(self.now, cost);
+                backend.dark = false;
                 if let Some(zone) = self.zones.get_mut(backend.member.zone.0 as usize) {
                     let elapsed = settled.elapsed as f64;
                     zone.least_elapsed = Some(zone.least_elapsed.map_or(elapsed, |least| least.min(elapsed)));
--- a/src/policy/figures.rs
+++ b/src/policy/figures.rs
@@ -106,3 +106,20 @@
 /// among the best tenth of all in 97 of 100 draws.
 pub(crate) const SCAN: usize = 128;
 pub(crate) const SAMPLE: usize = 32;
+/// Part of the goal that probes may cost at their price: well under what a spilled request in a hundred costs.
+pub(crate) const PROBE_SPEND: f64 = 0.002;
+/// Part of the work of requests that the work of probes may come to, and the work of one, at its dearest.
+pub(crate) const PROBE_WORK_SHARE: f64 = 0.02;
+pub(crate) const PROBE_WORK: Nanos = 5 * MS + MS / 2;
+/// Waits between two probes of a backend, from those that change next to nothing to those most wanted. Servers
+/// renew their figures every 0.4 to 1.1 s, so that more would tell the same again; less than twice within the
+/// trust in a figure would leave gaps.
+pub(crate) const PROBE_WAITS: [Nanos; 4] = [2500 * MS, 1200 * MS, 700 * MS, 500 * MS];
+/// So near the threshold a zone's figure is about to decide something.
+pub(crate) const PROBE_NEAR: f64 = 0.25;
+/// Share of failures from which on a backend is suspect.
+pub(crate) const PROBE_SUSPECT: f64 = 0.3;
+/// How often the log says how old the figures are.
+pub(crate) const AGES_EVERY: Nanos = 10 * SECOND;
+/// Share of a zone's backends that were not reached last, from which on it counts as cut off.
+pub(crate) const DARK_SHARE: f64 = 0.5;
--- a/src/policy/ledger.rs
+++ b/src/policy/ledger.rs
@@ -45,6 +45,7 @@
         self.requests.insert(arrival.request, request);
         self.retry_tokens = (self.retry_tokens + RETRY_SHARE).min(self.retries_saved());
         self.refresh(actions);
+        self.probes.as_mut().into_iter().for_each(|probes| probes.arrival(self.now));
         // Guards against jams that feed on their own repeats: what is past its aim, or more than the servers
         // can do in time, is turned away before it costs them anything.
         let past = aim_end <= self.now && worthless_late;
@@ -197,6 +198,9 @@
             self.judge(to, settled.outcome, actions);
         }
         self.report(to, settled.report);
+        if let Some(probes) = self.probes.as_mut().filter(|_| settled.report.util.is_some()) {
+            probes.told(to.0, self.now);
+        }
         if settled.ended || !open {
             if open && settled.outcome == Outcome::Served && (self.now <= aim_end || !self.many()) {
                 self.classes[class].served.add(self.now, 1.0);
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -13,6 +13,7 @@
 mod health;
 mod ledger;
 mod pick;
+mod probes;
 mod retries;
 mod slow_start;
 mod zones;
@@ -37,10 +38,11 @@
             Event::Request(arrival) => self.arrive(arrival, actions),
             Event::Settled(settlement) => self.settle(settlement, actions),
             Event::Started { request } => self.stand(request, Phase::Streaming),
-            Event::Probed { backend, report, .. } => self.report(backend, report),
+            Event::Probed { backend, outcome, report, .. } => self.probed(backend, outcome, report, actions),
             Event::ClientGone { request } => self.forget(request),
             Event::Timer { .. } => self.housekeeping(actions),
         }
+        self.probe(actions);
         self.arm(actions);
     }
 
@@ -52,7 +54,9 @@
     /// cost more than all requests together (it cut full-size days off as too slow).
     fn arm(&mut self, actions: &mut Vec<Action>) {
         let held = (!self.held.is_empty()).then(|| self.now + self.tick());
-        let Some(next) = held.into_iter().chain(self.ask_at.map(|at| at.max(self.now + MS))).min() else {
+        let Some(next) =
+            held.into_iter().chain(self.ask_at.map(|at| at.max(self.now + MS))).chain(self.probe_at()).min()
+        else {
             return;
         };
         if self.armed.is_none_or(|at| at <= self.now || next < at) {
--- /dev/null
+++ b/src/policy/probes.rs
@@ -0,0 +1,119 @@
+//! Probes for load reports: what they may cost, what a fresh figure would change, and what one tells. Whose turn
+//! comes when is the scheduler's, in `probing/`.
+
+use brookfield_probing::{Ages, Candidate, End, Interest, Limits as Bounds, Scheduler};
+
+use super::figures::*;
+use crate::api::*;
+use crate::state::*;
+
+impl Balancer {
+    /// The scheduler of a node that may probe and has something to gain by it.
+    pub(crate) fn scheduler(settings: &Settings, seed: u64, now: Nanos) -> Option<Scheduler> {
+        let gains = settings.limits.probes && settings.reports != Reports::Silent;
+        let per_request = PROBE_SPEND / settings.probe_price.max(PROBE_SPEND);
+        let bounds = Bounds { per_request, waits: PROBE_WAITS, useful: UTIL_TRUST, ..Bounds::default() };
+        gains.then(|| Scheduler::new(bounds, seed, now).ok()).flatten()
+    }
+
+    /// Tells the scheduler whom the list names.
+    pub(crate) fn list_probed(&mut self) {
+        let (home, zones) = (self.settings.home.0, self.settings.zones);
+        let candidate = |(&id, backend): (&BackendId, &Backend)| {
+            let Member { zone, stage, online_since, .. } = backend.member;
+            let probed = stage == Stage::InService && zone.0 < zones;
+            let group = (zone.0 + zones).wrapping_sub(home) % zones;
+            let incarnation = online_since.unwrap_or(0);
+            probed.then_some(Candidate { id: id.0, group, lot: backend.lot, incarnation })
+        };
+        if let Some(probes) = self.probes.as_mut() {
+            probes.list(self.backends.iter().filter_map(candidate).collect(), self.now);
+        }
+    }
+
+    /// Sends the probes whose turn it is.
+    pub(super) fn probe(&mut self, actions: &mut Vec<Action>) {
+        let Some(probes) = self.probes.as_mut() else { return };
+        while let Some(id) = probes.next(self.now) {
+            actions.push(Action::Probe { backend: BackendId(id) });
+        }
+    }
+
+    /// When the next probe is due, if time alone brings it about.
+    pub(super) fn probe_at(&self) -> Option<Nanos> {
+        let at = self.probes.as_ref()?.wakes()?;
+        Some(at.max(self.now + self.tick()))
+    }
+
+    /// What a fresh figure would change of each server kept to, and what an arrival earns by now.
+    pub(super) fn weigh_probes(&mut self, actions: &mut Vec<Action>) {
+        let Some(mut probes) = self.probes.take() else { return };
+        probes.review(self.now);
+        // The work of probes stays a small part of that of requests, however little a probe is said to cost.
+        let idle = self.classes.iter().map(|class| class.idle).fold(f64::INFINITY, f64::min);
+        let price = PROBE_SPEND / self.settings.probe_price.max(PROBE_SPEND);
+        probes.earn_by(price.min(PROBE_WORK_SHARE * idle / PROBE_WORK as f64));
+        let (home, best) = (self.settings.home, self.overflow.first().copied());
+        let near = self.utilisation(home).is_none_or(|util| util > self.threshold() - PROBE_NEAR);
+        for id in probes.kept().collect::<Vec<_>>() {
+            let Some(backend) = self.backends.get(&BackendId(id)) else { continue };
+            let cold = backend.ramp(self.now, &self.settings.rules) < 1.0;
+            let suspect = backend.health != Health::Healthy
+                || backend.full_in_row > 0
+                || backend.failing.fading(self.now, SLOW_FORGET) > PROBE_SUSPECT;
+            let zone = backend.member.zone;
+            let counts = zone == home || Some(zone) == best;
+            let interest = match backend.util.at {
+                None => Interest::Urgent,
+                Some(_) if cold || suspect => Interest::Urgent,
+                Some(_) if counts && near => Interest::Near,
+                Some(_) if counts => Interest::Watched,
+                Some(_) => Interest::Idle,
+            };
+            probes.interest(id, interest);
+        }
+        let ages = probes.ages(self.now);
+        self.probes = Some(probes);
+        if self.now >= self.ages_at && ages.sent > 0 {
+            self.ages_at = self.now + AGES_EVERY;
+            let Ages { listed, kept, known, oldest, unreached, sent } = ages;
+            let oldest = oldest / MS;
+            actions.push(Action::Log(format!(
+                "load reports of {known} of {kept} backends kept to ({listed} listed), the oldest {oldest} ms old; \
+                 {unreached} unreached; {sent} probes so far"
+            )));
+        }
+    }
+
+    /// Takes the end of a probe in. What an earlier life of the server said, or one that has left, is passed over.
+    pub(super) fn probed(
+        &mut self,
+        id: BackendId,
+        outcome: Outcome,
+        report: Report,
+        actions: &mut Vec<Action>,
+    ) {
+        let util = report.util.filter(|util| (0.0..=UTIL_MOST).contains(util));
+        let end = match outcome {
+            Outcome::Cancelled | Outcome::Moot => End::Withdrawn,
+            Outcome::TimedOut | Outcome::ConnectFailed | Outcome::Reset => End::Unreached,
+            Outcome::Served if util.is_some() => End::Figure,
+            _ => End::Empty,
+        };
+        let asked = self.probes.as_mut().map(|probes| probes.ended(id.0, end, self.now));
+        if asked == Some(false) || end == End::Withdrawn {
+            return;
+        }
+        if let Some(backend) = self.backends.get_mut(&id) {
+            backend.dark = end == End::Unreached;
+            let zone = backend.member.zone;
+            self.unsettle(zone);
+        }
+        match end {
+            // A server that can't be reached is out of order for requests too. One that answers a probe has
+            // not yet shown that it serves.
+            End::Unreached => self.judge(id, outcome, actions),
+            _ => self.report(id, Report { util, ..report }),
+        }
+    }
+}
--- a/src/policy/zones.rs
+++ b/src/policy/zones.rs
@@ -14,14 +14,25 @@
     /// a zone reported full would look free in a moment's lull.
     pub(super) fn utilisation(&self, zone: ZoneId) -> Option<f64> {
         let view = self.zones.get(zone.0 as usize)?;
-        let known = self.sums[zone.0 as usize].get().filter(|sum| self.now < sum.until);
-        let ZoneSum { used, size, .. } = known.unwrap_or_else(|| self.sum_up(zone));
+        let ZoneSum { used, size, .. } = self.sum(zone);
         let own = view.own;
         (size > 0.0).then(|| {
             used / size * ((own + size) / (view.own_before(self.now, UTIL_SMOOTHING) + size)).max(1.0)
         })
     }
 
+    fn sum(&self, zone: ZoneId) -> ZoneSum {
+        let known = self.sums[zone.0 as usize].get().filter(|sum| self.now < sum.until);
+        known.unwrap_or_else(|| self.sum_up(zone))
+    }
+
+    /// Whether so few of a zone's backends were reached by the last probes that it counts as cut off: its old
+    /// figures, or none, would make it look free.
+    fn is_dark(&self, zone: ZoneId) -> bool {
+        let dark = self.sum(zone).dark as f64;
+        dark > 0.0 && dark >= DARK_SHARE * self.zones[zone.0 as usize].listed
+    }
+
     /// Scores the other zones. Those under the threshold come first, by score; an unseen zone qualifies
     /// lowest, so that one send learns its figures.
     pub(super) fn refresh(&mut self, actions: &mut Vec<Action>) {
@@ -44,9 +55,13 @@
                 (Some(util), latency) => {
                     let headroom = 1.0 - util;
                     let saved = (farthest - latency.unwrap_or(farthest)) / farthest;
-                    (util < threshold, WEIGHT_HEADROOM * headroom + WEIGHT_LATENCY * saved, zone)
+                    (
+                        util < threshold && !self.is_dark(zone),
+                        WEIGHT_HEADROOM * headroom + WEIGHT_LATENCY * saved,
+                        zone,
+                    )
                 }
-                (None, _) => (true, -1.0, zone),
+                (None, _) => (!self.is_dark(zone), -1.0, zone),
             })
             .collect();
         scored.sort_by(|a, b| b.0.cmp(&a.0).then(b.1.total_cmp(&a.1)).then(a.2.cmp(&b.2)));
@@ -63,6 +78,7 @@
         if self.many() {
             self.admit();
         }
+        self.weigh_probes(actions);
         let spilling = self.utilisation(home).is_some_and(|util| util >= threshold);
         if std::mem::replace(&mut self.zones[home.0 as usize].spilling, spilling) != spilling {
             let to = self.overflow.first().map_or(home.0, |zone| zone.0);
@@ -92,6 +108,6 @@
             return Some(to);
         }
         // Exception: home can take nothing in time (full, ejected, cold or empty): any zone that can.
-        self.overflow.iter().find_map(|&zone| self.pick(id, zone))
+        self.overflow.iter().filter(|&&zone| !self.is_dark(zone)).find_map(|&zone| self.pick(id, zone))
     }
 }
--- a/src/state.rs
+++ b/src/state.rs
@@ -4,6 +4,8 @@
 use std::cell::Cell;
 use std::collections::{BTreeMap, VecDeque};
 
+use brookfield_probing::Scheduler;
+
 use crate::api::*;
 use crate::held::{Held, Hold};
 
@@ -140,6 +142,8 @@
     pub(crate) cold_sends: VecDeque<(Nanos, f64)>,
     /// Requests held for each core, as the list's live weight told last.
     pub(crate) held: Option<f64>,
+    /// The last probe reached nothing, and nothing was served since.
+    pub(crate) dark: bool,
     /// This node's lot for it: the lowest ones of a zone are its subset.
     pub(crate) lot: u64,
     /// Share of the picks against its size: what lasting differences the lists have shown, and the last one.
@@ -182,6 +186,8 @@
 pub(crate) struct ZoneSum {
     pub(crate) used: f64,
     pub(crate) size: f64,
+    /// Backends in service that were not reached last.
+    pub(crate) dark: usize,
     pub(crate) until: Nanos,
 }
 
@@ -265,6 +271,9 @@
     pub(crate) listed_at: Option<Nanos>,
     pub(crate) list_period: f64,
     pub(crate) share_at: Nanos,
+    /// Whose load is asked for, where the settings let it be.
+    pub(crate) probes: Option<Scheduler>,
+    pub(crate) ages_at: Nanos,
 }
 
 impl Balancer {
--- a/src/view.rs
+++ b/src/view.rs
@@ -25,6 +25,7 @@
             settings.classes.iter().map(|class| class.aim as f64 / 16.0).fold(f64::INFINITY, f64::min);
         let classes = settings.classes.iter().map(view).collect();
         let tenants = vec![Rate::default(); settings.tenants.len()];
+        let probes = Self::scheduler(&settings, seed, now);
         let held = Held::new(settings.classes.len());
         let in_zone = vec![Vec::new(); settings.zones as usize];
         let sums = vec![Cell::new(None); settings.zones as usize];
@@ -63,6 +64,8 @@
             listed_at: None,
             list_period: 1.0,
             share_at: 0,
+            probes,
+            ages_at: now,
         })
     }
 
@@ -117,14 +120,16 @@
             own.clear();
             own.extend(members.iter().filter(|id| of(id).is_some_and(|b| b.lot <= view.subset)));
         }
+        self.list_probed();
     }
 
     /// Sums the reports of a zone's usable backends up, and keeps the sum until the time changes it; events that
     /// do call `unsettle`.
     pub(crate) fn sum_up(&self, zone: ZoneId) -> ZoneSum {
         let members = &self.in_zone[zone.0 as usize];
-        let mut sum = ZoneSum { used: 0.0, size: 0.0, until: Nanos::MAX };
+        let mut sum = ZoneSum { used: 0.0, size: 0.0, dark: 0, until: Nanos::MAX };
         let mut add = |backend: &Backend| {
+            sum.dark += usize::from(backend.dark && backend.member.stage == Stage::InService);
             if let Some(change) = self.usable_changes(backend) {
                 sum.until = sum.until.min(change);
             }
