Make the probes on real sockets, over connections that no request needs

The driver only warned of a probe that the module asked for. node/src/prober.rs now asks GET /stats within 500 ms over connections of its own (a thirty-second of the descriptors, out of the slack), one out for each server; a probe is withdrawn when its server drains, leaves, moves or starts anew, and all are when the node stops.

--- a/node/src/driver.rs
+++ b/node/src/driver.rs
@@ -17,6 +17,8 @@
 use hyper::{HeaderMap, Method, Uri};
 use tokio::sync::{Notify, oneshot};
 
+use crate::prober::Probe;
+
 /// How long past a request's end the driver waits for the module before it answers by itself: longer than
 /// the module's own housekeeping, well inside the slack that the rules leave.
 const BACKSTOP: Nanos = 20_000_000;
@@ -88,6 +90,20 @@
     backend: BackendId,
 }
 
+/// One probe of one backend.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ProbeTicket {
+    backend: BackendId,
+    number: u64,
+}
+
+impl ProbeTicket {
+    /// Whom it asks.
+    pub fn backend(&self) -> BackendId {
+        self.backend
+    }
+}
+
 /// An attempt to be made.
 pub struct Launch {
     /// Which one; goes back with its outcome.
@@ -129,6 +145,8 @@
     fn launch(&self, node: &Node, launch: Launch);
     /// Drops the idle connections to a backend that has left, moved or started anew.
     fn retire(&self, backend: BackendId);
+    /// Starts a probe; its end comes back by [`Node::probed`], exactly once.
+    fn probe(&self, node: &Node, probe: Probe);
 }
 
 /// One line of discovery's list.
@@ -235,6 +253,11 @@
     backends: HashMap<BackendId, Known>,
     next_backend: u32,
     timers: BTreeSet<(Nanos, Due)>,
+    /// The probe out to each backend; one at most.
+    probes: HashMap<BackendId, (u64, Flight)>,
+    next_probe: u64,
+    /// The node stops: there are no more probes.
+    quiet: bool,
     /// Set by the module's wish for the whole list.
     whole_list: bool,
 }
@@ -244,6 +267,9 @@
 struct Errands {
     launches: Vec<Launch>,
     retired: Vec<BackendId>,
+    probes: Vec<Probe>,
+    /// Probes that were not made.
+    unmade: Vec<BackendId>,
     /// Attempts on a backend that has left the list meanwhile.
     moot: Vec<Ticket>,
     ask: bool,
@@ -281,6 +307,9 @@
             backends: HashMap::new(),
             next_backend: 0,
             timers: BTreeSet::new(),
+            probes: HashMap::new(),
+            next_probe: 0,
+            quiet: false,
             whole_list: false,
         };
         let driver = Rc::new(RefCell::new(driver));
@@ -355,6 +384,25 @@
         self.tell(|driver, errands| driver.settled(ticket, ending, errands));
     }
 
+    /// Takes the end of a probe. One that was withdrawn meanwhile has been told of.
+    pub fn probed(&self, ticket: ProbeTicket, ending: Ending) {
+        self.tell(|driver, errands| driver.probed(ticket, ending, errands));
+    }
+
+    /// A probe that the module has asked for is not made.
+    fn unprobed(&self, backend: BackendId) {
+        self.tell(|driver, errands| driver.unprobed(backend, errands));
+    }
+
+    /// Withdraws all probes and makes no more: a node that stops has nothing to decide by their figures.
+    pub fn stop_probing(&self) {
+        self.tell(|driver, errands| {
+            driver.quiet = true;
+            let out: Vec<BackendId> = driver.probes.keys().copied().collect();
+            out.into_iter().for_each(|backend| driver.unprobed(backend, errands));
+        });
+    }
+
     /// Takes a list from discovery.
     pub fn fleet(&self, scope: ListScope, list: Vec<Listed>) {
         self.tell(|driver, errands| driver.fleet(scope, list, errands));
@@ -398,6 +446,8 @@
         let result = call(&mut self.driver.borrow_mut(), &mut errands);
         errands.retired.into_iter().for_each(|backend| self.launcher.retire(backend));
         errands.launches.into_iter().for_each(|launch| self.launcher.launch(self, launch));
+        errands.probes.into_iter().for_each(|probe| self.launcher.probe(self, probe));
+        errands.unmade.into_iter().for_each(|backend| self.unprobed(backend));
         for ticket in errands.moot {
             self.settled(ticket, Ending::bare(Outcome::Moot));
         }
@@ -460,8 +510,7 @@
                 // An attempt that ended meanwhile no longer listens: its own outcome is on the way.
                 let _ = withdraw.map(|withdraw| withdraw.send(()));
             }
-            // The settings never allow probes here; the module is told of none.
-            Action::Probe { .. } => tracing::warn!("the module asked for a probe; nodes make none"),
+            Action::Probe { backend } => self.probe(backend, errands),
             Action::Watch => errands.ask = true,
             Action::Fetch => {
                 self.whole_list = true;
@@ -557,6 +606,43 @@
         });
     }
 
+    fn probe(&mut self, backend: BackendId, errands: &mut Errands) {
+        let known = self.backends.get(&backend).filter(|known| known.draining_since.is_none());
+        let Some(known) = known.filter(|_| !self.quiet && !self.probes.contains_key(&backend)) else {
+            errands.unmade.push(backend);
+            return;
+        };
+        let number = self.next_probe;
+        self.next_probe += 1;
+        let (withdraw, withdrawn) = oneshot::channel();
+        let flight = Flight { since: self.clock.now(), withdraw: Some(withdraw) };
+        self.probes.insert(backend, (number, flight));
+        let ticket = ProbeTicket { backend, number };
+        errands.probes.push(Probe { ticket, endpoint: known.endpoint, withdrawn });
+    }
+
+    fn probed(&mut self, ticket: ProbeTicket, ending: Ending, errands: &mut Errands) {
+        let ProbeTicket { backend, number } = ticket;
+        if self.probes.get(&backend).is_none_or(|(out, _)| *out != number) {
+            return;
+        }
+        let Some((_, flight)) = self.probes.remove(&backend) else { return };
+        let elapsed = self.clock.now().saturating_sub(flight.since);
+        let Ending { outcome, report, .. } = ending;
+        self.hear(Event::Probed { backend, outcome, elapsed, report }, errands);
+    }
+
+    /// Withdraws the probe of a backend, if one is out, and tells the module that it comes to nothing.
+    fn unprobed(&mut self, backend: BackendId, errands: &mut Errands) {
+        let flight = self.probes.remove(&backend).map(|(_, flight)| flight);
+        let elapsed = flight.as_ref().map_or(0, |flight| self.clock.now().saturating_sub(flight.since));
+        if let Some(withdraw) = flight.and_then(|flight| flight.withdraw) {
+            let _ = withdraw.send(());
+        }
+        let (outcome, report) = (Outcome::Cancelled, Report::default());
+        self.hear(Event::Probed { backend, outcome, elapsed, report }, errands);
+    }
+
     /// Gives the final answer. Only the first one of a request goes out.
     fn finish(&mut self, request: RequestId, reply: Reply) {
         let Some(open) = self.requests.get_mut(&request) else { return };
@@ -612,6 +698,16 @@
         );
         let members = list.into_iter().filter_map(|listed| self.member(listed, now, errands)).collect();
         self.hear(Event::Fleet { scope, members }, errands);
+        // What an earlier life, or an earlier address, would still answer is of no use.
+        let retired = errands.retired.clone();
+        for backend in retired
+            .into_iter()
+            .chain(left.iter().filter_map(|uid| self.ids.get(uid)).copied().collect::<Vec<_>>())
+        {
+            if self.probes.contains_key(&backend) {
+                self.unprobed(backend, errands);
+            }
+        }
         // Under its name a backend that has gone may come again: as a new one, since its number is not kept.
         for uid in left {
             if let Some(id) = self.ids.remove(&uid) {
@@ -666,6 +762,7 @@
     struct Kept {
         launches: RefCell<Vec<Launch>>,
         retired: RefCell<Vec<BackendId>>,
+        probes: RefCell<Vec<Probe>>,
     }
 
     impl Launcher for Kept {
@@ -676,6 +773,10 @@
         fn retire(&self, backend: BackendId) {
             self.retired.borrow_mut().push(backend);
         }
+
+        fn probe(&self, _: &Node, probe: Probe) {
+            self.probes.borrow_mut().push(probe);
+        }
     }
 
     fn node(drain_grace: Nanos) -> (Node, Rc<Kept>) {
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -5,6 +5,7 @@
 
 mod discovery;
 mod driver;
+mod prober;
 mod seats;
 mod server;
 mod sparing;
@@ -109,8 +110,10 @@
     }
     let (clients, backends) = (sockets / 2, sockets * 3 / 8);
     let clock = Clock::start();
-    let upstream = Upstream::new(site.links, clock, backends);
-    spawn_local(Upstream::sweep(upstream.pool()));
+    // Probes have a few of their own: they come out of the slack, never out of what requests need.
+    let upstream = Upstream::new(site.links, clock, backends, sockets / 32);
+    let (pool, prober) = upstream.parts();
+    spawn_local(Upstream::sweep(pool, prober));
     let node = Node::new(site.settings, site.words, seed, clock, Rc::new(upstream))
         .map_err(|error| StartError::Settings(error.to_string()))?;
     let watch = discovery::Watch::new(node.clone(), config.discovery, config.known);
@@ -126,10 +129,11 @@
     spawn_local(async move { timers.run_timers().await });
     let (phase, phases) = watch::channel(Phase::Serving);
     let deadline = node.longest_deadline();
-    let served = spawn_local(server::run(listener, node, clients, phases));
+    let served = spawn_local(server::run(listener, node.clone(), clients, phases));
     asked_to_stop(&mut terminate, &mut interrupt).await;
     tracing::info!("{} stops", config.name);
     phase.send_replace(Phase::Stopping);
+    node.stop_probing();
     sleep(STILL_TAKES).await;
     phase.send_replace(Phase::Closing);
     sleep(LAST_ONES).await;
--- a/node/src/upstream.rs
+++ b/node/src/upstream.rs
@@ -22,6 +22,7 @@
 use tokio::time::{sleep, sleep_until, timeout};
 
 use crate::driver::{Clock, Ending, Launch, Launcher, Node};
+use crate::prober::{Probe, Prober};
 use crate::tap::{Heard, Tap};
 
 /// No body is larger, either way.
@@ -37,7 +38,7 @@
 const REST: Nanos = 10_000_000;
 /// An idle connection is kept for this part of the backends' limit: one that is written to as its backend
 /// closes it ends as a reset, and what was sent on it may have run.
-const IDLE_PART: u64 = 2;
+pub(crate) const IDLE_PART: u64 = 2;
 /// An answer that comes this long after its client's time leaves its connection fit for use: clients with
 /// little time would cost a handshake each.
 const SALVAGE: Duration = Duration::from_millis(400);
@@ -53,8 +54,8 @@
 type Place = (BackendId, SocketAddr);
 
 /// A connection, and what is heard on it.
-struct Link {
-    send: SendRequest<Full<Bytes>>,
+pub(crate) struct Link {
+    pub(crate) send: SendRequest<Full<Bytes>>,
     heard: Heard,
 }
 
@@ -101,10 +102,10 @@
 }
 
 /// Counts an open connection for as long as its task lives.
-struct Counted(Rc<Cell<usize>>);
+pub(crate) struct Counted(Rc<Cell<usize>>);
 
 impl Counted {
-    fn new(open: &Rc<Cell<usize>>) -> Self {
+    pub(crate) fn new(open: &Rc<Cell<usize>>) -> Self {
         open.set(open.get() + 1);
         Self(open.clone())
     }
@@ -116,28 +117,30 @@
     }
 }
 
-/// Starts attempts over a pool.
-pub struct Upstream(Rc<Pool>);
+/// Starts attempts over a pool, and probes beside it.
+pub struct Upstream(Rc<Pool>, Rc<Prober>);
 
 impl Upstream {
-    /// At most `most` connections are open together.
-    pub fn new(links: Links, clock: Clock, most: usize) -> Self {
+    /// At most `most` connections are open together for requests, and `probes` for probes.
+    pub fn new(links: Links, clock: Clock, most: usize, probes: usize) -> Self {
         let (idle, open) = (RefCell::default(), Rc::default());
-        Self(Rc::new(Pool { idle, open, most, links, clock, aged: Aged::default() }))
+        let pool = Pool { idle, open, most, links, clock, aged: Aged::default() };
+        Self(Rc::new(pool), Rc::new(Prober::new(links, clock, probes)))
     }
 
     /// Closes what has been idle for too long; never ends.
-    pub async fn sweep(pool: Rc<Pool>) {
+    pub async fn sweep(pool: Rc<Pool>, prober: Rc<Prober>) {
         loop {
             sleep(SWEEP).await;
             pool.drop_stale();
+            prober.drop_stale();
             pool.aged.fade();
         }
     }
 
-    /// The pool.
-    pub fn pool(&self) -> Rc<Pool> {
-        self.0.clone()
+    /// The pool, and the prober.
+    pub fn parts(&self) -> (Rc<Pool>, Rc<Prober>) {
+        (self.0.clone(), self.1.clone())
     }
 }
 
@@ -149,6 +152,11 @@
 
     fn retire(&self, backend: BackendId) {
         self.0.idle.borrow_mut().retain(|place, _| place.0 != backend);
+        self.1.retire(backend);
+    }
+
+    fn probe(&self, node: &Node, probe: Probe) {
+        self.1.start(node, probe);
     }
 }
 
@@ -291,22 +299,8 @@
         if self.open.get() >= self.most + self.most / 8 {
             return None;
         }
-        let counted = Counted::new(&self.open);
         let limit = Duration::from_nanos(self.links.connect_timeout);
-        let stream = timeout(limit, TcpStream::connect(endpoint)).await.ok()?.ok()?;
-        stream.set_nodelay(true).ok()?;
-        let heard = Heard::default();
-        let tap = Tap { stream, ear: heard.clone() };
-        let mut builder = Builder::new();
-        builder.max_buf_size(MAX_HEAD).max_headers(MAX_LINES);
-        let (send, connection) = builder.handshake(TokioIo::new(tap)).await.ok()?;
-        spawn_local(async move {
-            let _counted = counted;
-            if let Err(error) = connection.await {
-                tracing::debug!("connection to {endpoint}: {error}");
-            }
-        });
-        Some(Link { send, heard })
+        open_link(endpoint, limit, Counted::new(&self.open)).await
     }
 
     fn drop_stale(&self) {
@@ -330,6 +324,24 @@
     }
 }
 
+/// Opens a connection, which counts as open until its task has ended. None where it is not up within `limit`.
+pub(crate) async fn open_link(endpoint: SocketAddr, limit: Duration, counted: Counted) -> Option<Link> {
+    let stream = timeout(limit, TcpStream::connect(endpoint)).await.ok()?.ok()?;
+    stream.set_nodelay(true).ok()?;
+    let heard = Heard::default();
+    let tap = Tap { stream, ear: heard.clone() };
+    let mut builder = Builder::new();
+    builder.max_buf_size(MAX_HEAD).max_headers(MAX_LINES);
+    let (send, connection) = builder.handshake(TokioIo::new(tap)).await.ok()?;
+    spawn_local(async move {
+        let _counted = counted;
+        if let Err(error) = connection.await {
+            tracing::debug!("connection to {endpoint}: {error}");
+        }
+    });
+    Some(Link { send, heard })
+}
+
 /// Reads an answer; also whether it was whole, so that its connection is of further use.
 async fn read(response: Response<Incoming>) -> (Ending, bool) {
     let (head, body) = response.into_parts();
@@ -376,7 +388,11 @@
 
 /// Reads the load report that an answer carries. One that can't be read says nothing, and harms nothing.
 fn load_report(headers: &HeaderMap) -> Report {
-    let text = headers.get("x-load-report").map(HeaderValue::as_bytes).unwrap_or_default();
+    figures(headers.get("x-load-report").map(HeaderValue::as_bytes).unwrap_or_default())
+}
+
+/// Reads a load report; see [`load_report`].
+pub(crate) fn figures(text: &[u8]) -> Report {
     let figures: Figures = serde_json::from_slice(text).unwrap_or_default();
     Report { util: figures.util, rate: figures.qps, in_flight: figures.inflight }
 }
--- a/probing/src/scheduler.rs
+++ b/probing/src/scheduler.rs
@@ -50,7 +50,7 @@
             out_each: 8,
             waits: [2500 * MS, 1200 * MS, 700 * MS, 500 * MS],
             useful: 4 * SECOND,
-            kept: (8, 512),
+            kept: (24, 512),
             lost_after: 5 * SECOND,
         }
     }
@@ -182,7 +182,8 @@
     /// Chooses anew whom to keep to, should the budget have come to afford clearly more or fewer.
     pub fn review(&mut self, now: Nanos) {
         let (wanted, kept) = (self.affordable(now).min(self.listed.len()), self.members.len());
-        if wanted > kept + kept / 2 || wanted < kept / 2 {
+        let all = wanted == self.listed.len() && wanted > kept;
+        if all || wanted > kept + kept / 2 || wanted < kept / 2 {
             self.choose(now);
         }
     }
