Let a report widen or narrow a backend's room, and wait a moment for a calm home

With figures known, crossings came from the bound on a backend's load, not from the threshold: a calm home zone was left because its backends held five requests each that mostly waited for others. A backend that reports under 0.7 may now hold up to twice as much, one that reports over 0.8 down to half, the figure raised by the node's own sends since; and at a home zone under 0.6 a request waits 15 hundredths of its aim for a place before it crosses.

--- a/benches/decisions.rs
+++ b/benches/decisions.rs
@@ -36,6 +36,7 @@
         let rate = u64::from(backends) * 5;
         let few = Shape { backends, rate, failing: 1, ..Shape::default() };
         measure(&mut group, &format!("{backends} backends, 3 nodes"), few);
+        measure(&mut group, &format!("{backends} backends, 3 nodes, probes"), Shape { probes: true, ..few });
         let many = Shape { nodes: 1000, rate: rate / 50 + 10, reports: true, ..few };
         measure(&mut group, &format!("{backends} backends, 1000 nodes"), many);
     }
--- a/probing/src/members.rs
+++ b/probing/src/members.rs
@@ -34,8 +34,9 @@
     Withdrawn,
 }
 
-/// Doublings of the wait at which failures stop to lengthen it.
-const MOST_DOUBLINGS: u32 = 4;
+/// Failures lengthen a wait up to here, or to the ordinary one where that is longer: a zone that was cut for some
+/// seconds should not stay unseen for long after.
+const LONGEST: Nanos = 4_000_000_000;
 
 #[derive(Clone, Debug)]
 pub(crate) struct Member {
@@ -58,6 +59,6 @@
     /// The wait between two probes: `period`, doubled for each probe in a row that reached nothing, so that a zone
     /// that is cut takes little of the budget.
     pub(crate) fn wait(&self, period: Nanos) -> Nanos {
-        period.saturating_mul(1 << self.unreached.min(MOST_DOUBLINGS))
+        period.saturating_mul(1 << self.unreached.min(16)).min(LONGEST.max(period))
     }
 }
--- a/probing/src/scheduler.rs
+++ b/probing/src/scheduler.rs
@@ -16,8 +16,6 @@
 const EARNING: Nanos = 5 * SECOND;
 /// Parts of a wait by which turns are spread, so that nodes which start together do not probe together.
 const JITTER: f64 = 0.25;
-/// A member overdue by a whole wait counts as one interest more, or the urgent ones could starve it.
-const STEPS: u64 = 3;
 
 /// The bounds of a scheduler.
 #[derive(Clone, Copy, Debug)]
@@ -198,7 +196,7 @@
                 continue;
             }
             // The first turn comes soon, but not at all nodes at once.
-            let due = now + self.part(self.limits.waits[Interest::Urgent as usize]);
+            let due = now + MS + self.part(self.limits.waits[Interest::Urgent as usize]);
             let member = Member {
                 incarnation,
                 group,
@@ -255,11 +253,12 @@
                 |id: &Id| self.members.get(id).is_some_and(|m| self.in_group(m.group) < self.limits.out_each);
             let due = queue.iter().take_while(|(due, _)| *due <= now);
             let (due, id) = due.copied().find(|(_, id)| free(id))?;
-            let late = (now - due) / self.limits.waits[level as usize];
-            Some((level as u64 + late.min(STEPS), level, due, id))
+            // Where the budget is short all waits stretch by the same factor, and nobody starves.
+            let late = (now - due) as f64 / self.limits.waits[level as usize] as f64;
+            Some((late, level, due, id))
         };
-        let (_, level, due, id) =
-            Interest::ALL.into_iter().filter_map(ready).max_by_key(|turn| (turn.0, turn.1))?;
+        let turns = Interest::ALL.into_iter().filter_map(ready);
+        let (_, level, due, id) = turns.max_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)))?;
         if !self.budget.spend() {
             return None;
         }
@@ -289,7 +288,8 @@
         let Some((sent, _)) = self.out.remove(&id) else { return false };
         let draw = self.random.next_u32();
         let Some(member) = self.members.get_mut(&id) else { return false };
-        let counts = sent >= member.since && end != End::Withdrawn;
+        // What was sent in the very moment in which a server started anew went to the life before.
+        let counts = sent > member.since && end != End::Withdrawn;
         if counts {
             match end {
                 End::Figure => (member.told, member.unreached) = (Some(now), 0),
--- a/src/learning.rs
+++ b/src/learning.rs
@@ -35,6 +35,9 @@
     pub(crate) fn report(&mut self, id: BackendId, report: Report) {
         let Some(backend) = self.backends.get_mut(&id) else { return };
         if let Some(util) = report.util.filter(|util| (0.0..=UTIL_MOST).contains(util)) {
+            let mut own = Smooth { value: backend.told_at, at: backend.util.at };
+            own.feed(self.now, f64::from(backend.in_flight), UTIL_SMOOTHING, 0.05);
+            backend.told_at = own.value;
             backend.util.feed(self.now, util, UTIL_SMOOTHING, 0.05);
             let zone = backend.member.zone;
             self.unsettle(zone);
--- a/src/policy/admission.rs
+++ b/src/policy/admission.rs
@@ -38,6 +38,21 @@
         idle || (roomy && !self.many() && f64::from(backend.in_flight) < backend.size())
     }
 
+    /// What a backend's own report makes of the load that would crowd one.
+    fn room_by_report(&self, backend: &Backend) -> f64 {
+        if self.many() || !backend.util.younger_than(self.now, UTIL_TRUST) {
+            return 1.0;
+        }
+        // Raised by the own sends since it was made: figures are a second old, and a crowd gathers in less.
+        let since = (f64::from(backend.in_flight) + 1.0) / (backend.told_at + 1.0);
+        let util = backend.util.value * since.max(1.0);
+        if util < SPARE_UNDER {
+            1.0 + SPARE_MORE * (1.0 - util / SPARE_UNDER)
+        } else {
+            1.0 - BUSY_LESS * ((util - BUSY_OVER) / (1.0 - BUSY_OVER)).clamp(0.0, 1.0)
+        }
+    }
+
     fn leaves_room(&self, class: usize, over: bool, slowness: f64, load: f64, backend: &Backend) -> bool {
         let view = &self.classes[class];
         // A cold one's budget is its bound: what it lacks yet is no sign of a crowd.
@@ -46,6 +61,7 @@
         let room = if over && !self.many() { view.room * PRECEDENCE } else { view.room };
         // One request crowds no backend: with none there, no answer would show that it is well again.
         let alone = backend.in_flight == 0 && !self.many();
+        let room = room * self.room_by_report(backend);
         alone || crowd <= room
     }
 
--- a/src/policy/figures.rs
+++ b/src/policy/figures.rs
@@ -54,6 +54,14 @@
 pub(crate) const IDLE_SLOW: f64 = 1.1;
 /// A backend that reports less use than this has room for what may be late.
 pub(crate) const ROOMY: f64 = 0.7;
+/// What a backend's report makes of the load that would crowd one. Reporting less use than this it may hold
+/// more, up to twice as much where it reports none: what it holds waits for others then, not for its cores.
+pub(crate) const SPARE_UNDER: f64 = 0.7;
+pub(crate) const SPARE_MORE: f64 = 1.0;
+/// Reporting more use than this it may hold less, down to half where all its cores are busy: more waits there
+/// than it works on, put there by all nodes, and a second or two of that chokes it.
+pub(crate) const BUSY_OVER: f64 = 0.8;
+pub(crate) const BUSY_LESS: f64 = 0.5;
 /// A class worth less may use this share of the room of the next worthier one at most; so may requests beyond
 /// their tenant's share, of the room of those within.
 pub(crate) const PRECEDENCE: f64 = 0.8;
@@ -106,14 +114,14 @@
 /// among the best tenth of all in 97 of 100 draws.
 pub(crate) const SCAN: usize = 128;
 pub(crate) const SAMPLE: usize = 32;
-/// Part of the goal that probes may cost at their price: well under what a spilled request in a hundred costs.
+/// Part of the goal that probes may cost at their price.
 pub(crate) const PROBE_SPEND: f64 = 0.002;
 /// Part of the work of requests that the work of probes may come to, and the work of one, at its dearest.
 pub(crate) const PROBE_WORK_SHARE: f64 = 0.02;
 pub(crate) const PROBE_WORK: Nanos = 5 * MS + MS / 2;
-/// Waits between two probes of a backend, from those that change next to nothing to those most wanted. Servers
-/// renew their figures every 0.4 to 1.1 s, so that more would tell the same again; less than twice within the
-/// trust in a figure would leave gaps.
+/// Waits between two probes of a backend, from those that change next to nothing to those most wanted.
+/// Servers renew their figures every 0.4 to 1.1 s, so that more would tell the same again; with waits over
+/// the trust in a figure there would be gaps.
 pub(crate) const PROBE_WAITS: [Nanos; 4] = [2500 * MS, 1200 * MS, 700 * MS, 500 * MS];
 /// So near the threshold a zone's figure is about to decide something.
 pub(crate) const PROBE_NEAR: f64 = 0.25;
@@ -121,5 +129,9 @@
 pub(crate) const PROBE_SUSPECT: f64 = 0.3;
 /// How often the log says how old the figures are.
 pub(crate) const AGES_EVERY: Nanos = 10 * SECOND;
+/// A home zone that reports less use than this has places that are about to come free, and a request waits
+/// for one for this part of its aim before it crosses: twice as long as a place takes to come free there.
+pub(crate) const CALM: f64 = 0.6;
+pub(crate) const PATIENCE: f64 = 0.15;
 /// Share of a zone's backends that were not reached last, from which on it counts as cut off.
 pub(crate) const DARK_SHARE: f64 = 0.5;
--- a/src/policy/probes.rs
+++ b/src/policy/probes.rs
@@ -1,5 +1,5 @@
-//! Probes for load reports: what they may cost, what a fresh figure would change, and what one tells. Whose turn
-//! comes when is the scheduler's, in `probing/`.
+//! Probes for load reports: what they may cost, what a fresh figure would change, and what one tells. Whose
+//! turn comes when is the scheduler's, in `probing/`.
 
 use brookfield_probing::{Ages, Candidate, End, Interest, Limits as Bounds, Scheduler};
 
@@ -58,17 +58,19 @@
         for id in probes.kept().collect::<Vec<_>>() {
             let Some(backend) = self.backends.get(&BackendId(id)) else { continue };
             let cold = backend.ramp(self.now, &self.settings.rules) < 1.0;
-            let suspect = backend.health != Health::Healthy
-                || backend.full_in_row > 0
-                || backend.failing.fading(self.now, SLOW_FORGET) > PROBE_SUSPECT;
+            // What can't be reached is not asked more often for it.
+            let suspect = !backend.dark
+                && (backend.health != Health::Healthy
+                    || backend.full_in_row > 0
+                    || backend.failing.fading(self.now, SLOW_FORGET) > PROBE_SUSPECT);
             let zone = backend.member.zone;
             let counts = zone == home || Some(zone) == best;
             let interest = match backend.util.at {
-                None => Interest::Urgent,
-                Some(_) if cold || suspect => Interest::Urgent,
-                Some(_) if counts && near => Interest::Near,
-                Some(_) if counts => Interest::Watched,
-                Some(_) => Interest::Idle,
+                None if !backend.dark => Interest::Urgent,
+                _ if cold || suspect => Interest::Urgent,
+                _ if counts && near => Interest::Near,
+                _ if counts => Interest::Watched,
+                _ => Interest::Idle,
             };
             probes.interest(id, interest);
         }
@@ -76,16 +78,17 @@
         self.probes = Some(probes);
         if self.now >= self.ages_at && ages.sent > 0 {
             self.ages_at = self.now + AGES_EVERY;
-            let Ages { listed, kept, known, oldest, unreached, sent } = ages;
-            let oldest = oldest / MS;
+            let Ages { listed, kept, known, unreached, sent, oldest } = ages;
             actions.push(Action::Log(format!(
-                "load reports of {known} of {kept} backends kept to ({listed} listed), the oldest {oldest} ms old; \
-                 {unreached} unreached; {sent} probes so far"
+                "load reports: {known} of {kept} probed backends ({listed} listed) known, the oldest {} ms \
+                 old; {unreached} unreached; {sent} probes so far",
+                oldest / MS
             )));
         }
     }
 
-    /// Takes the end of a probe in. What an earlier life of the server said, or one that has left, is passed over.
+    /// Takes the end of a probe in. What an earlier life of the server said, or one that has left, is passed
+    /// over.
     pub(super) fn probed(
         &mut self,
         id: BackendId,
--- a/src/policy/zones.rs
+++ b/src/policy/zones.rs
@@ -87,6 +87,17 @@
         }
     }
 
+    /// Whether a request waits for a place at home that others are about to leave, rather than cross: home is
+    /// far from its threshold by its reports, and the wait short against the aim.
+    fn stays_a_moment(&self, id: RequestId) -> bool {
+        let calm = !self.many() && self.utilisation(self.settings.home).is_some_and(|util| util < CALM);
+        let first = self.requests.get(&id).filter(|request| request.attempts.is_empty());
+        calm && first.is_some_and(|request| {
+            let aim = self.settings.classes[request.class].aim;
+            self.now + aim < request.aim_end + (PATIENCE * aim as f64) as Nanos
+        })
+    }
+
     /// The backend for a request by the design, or none if it is better held.
     pub(super) fn choose(&mut self, id: RequestId) -> Option<BackendId> {
         let home = self.settings.home;
@@ -100,6 +111,9 @@
         if under && let Some(to) = self.pick(id, home) {
             return Some(to);
         }
+        if under && self.stays_a_moment(id) {
+            return None;
+        }
         let target = self.overflow.first().copied().filter(|_| self.qualified > 0);
         if let Some(to) = target.and_then(|zone| self.pick(id, zone)) {
             return Some(to);
--- a/src/state.rs
+++ b/src/state.rs
@@ -131,6 +131,8 @@
     pub(crate) member: Member,
     pub(crate) in_flight: u32,
     pub(crate) util: Smooth,
+    /// Own requests on it when it was made, smoothed alike.
+    pub(crate) told_at: f64,
     pub(crate) slow: Smooth,
     pub(crate) served: Rate,
     pub(crate) failing: Smooth,
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -10,6 +10,7 @@
     pub balancer: Balancer,
     pub now: Nanos,
     pub next: u64,
+    settled: std::collections::BTreeMap<RequestId, u32>,
 }
 
 pub fn class(aim_ms: u64, deadline_ms: u64, effect: Effect) -> ClassSettings {
@@ -41,7 +42,7 @@
 
     pub fn seeded(seed: u64, settings: Settings, members: Vec<Member>) -> Self {
         let balancer = Balancer::new(settings, seed, SECOND).expect("usable settings");
-        let mut node = Self { balancer, now: SECOND, next: 0 };
+        let mut node = Self { balancer, now: SECOND, next: 0, settled: Default::default() };
         node.tell(Event::Start);
         node.tell(Event::Fleet { scope: ListScope::Cached, members });
         node
@@ -80,6 +81,13 @@
         (request, self.tell(Event::Request(arrival)))
     }
 
+    /// The number of a request's attempt that is out, where each was settled before the next.
+    pub fn attempt(&mut self, request: RequestId) -> u32 {
+        let next = self.settled.entry(request).or_insert(0);
+        *next += 1;
+        *next - 1
+    }
+
     pub fn settle(
         &mut self,
         request: RequestId,
--- a/tests/common/world.rs
+++ b/tests/common/world.rs
@@ -28,6 +28,8 @@
     pub failing: u64,
     /// Load reports come with the answers.
     pub reports: bool,
+    /// Load reports come with probes.
+    pub probes: bool,
     /// The list changes in this period; 0 for never.
     pub churn: Nanos,
     pub weights: Weights,
@@ -44,6 +46,7 @@
             work: 100 * MS,
             failing: 0,
             reports: false,
+            probes: false,
             churn: 0,
             weights: Weights::Size,
         }
@@ -55,6 +58,7 @@
     Arrives,
     Settles { request: RequestId, attempt: u32, to: BackendId, outcome: u8, sent: Nanos },
     Wakes(u64),
+    Probed(BackendId),
     ListChanges,
     ListComes,
 }
@@ -91,7 +95,9 @@
             effect,
             ..ClassSettings::default()
         };
-        let settings = Settings {
+        let mut settings = Settings {
+            reports: if shape.probes { Reports::Pull } else { Reports::Silent },
+            probe_price: 0.01,
             nodes: shape.nodes,
             weights: shape.weights,
             classes: vec![class(1200, 6000, 5.0, Effect::Repeatable), class(1500, 4000, 2.0, Effect::Once)],
@@ -99,6 +105,7 @@
             over_share_worth: 0.2,
             ..Settings::new(ZoneId(0), shape.zones)
         };
+        settings.limits.probes = shape.probes;
         let node = Balancer::new(settings, shape.seed, SECOND).expect("usable settings");
         let mut world = Self {
             node,
@@ -145,6 +152,11 @@
         self.free[backend as usize].iter().min().map_or(0, |free| free.saturating_sub(self.now))
     }
 
+    /// Part of the cores of a backend that is busy, or 1 and work waits.
+    fn util(&self, backend: BackendId) -> f64 {
+        self.free[backend.0 as usize].iter().filter(|free| **free > self.now).count() as f64 / 2.0
+    }
+
     fn member(&self, backend: u32, stage: Stage) -> Member {
         let held = self.waiting(backend) as f64 / self.shape.work as f64;
         let size = if self.shape.weights == Weights::Live { 1.0 / (1.0 + held) } else { 1.0 };
@@ -187,7 +199,10 @@
                 self.attempts.remove(&request);
             }
             Action::Cancel { request, attempt } => self.note([4, request.0, attempt.into(), 0]),
-            Action::Probe { backend } => self.note([5, backend.0.into(), 0, 0]),
+            Action::Probe { backend } => {
+                self.note([5, backend.0.into(), 0, 0]);
+                self.at(self.now + 3 * MS, Next::Probed(backend));
+            }
             Action::Timer { after, token } => {
                 self.note([6, after, token, 0]);
                 self.at(self.now + after, Next::Wakes(token));
@@ -231,12 +246,16 @@
                 if ended {
                     self.attempts.remove(&request);
                 }
-                let util = (self.waiting(to.0) as f64 / self.shape.work as f64).min(1.0);
-                let util = self.shape.reports.then_some(util);
+                let util = self.shape.reports.then_some(self.util(to));
                 let report = Report { util, ..Report::default() };
                 let elapsed = self.now - sent;
                 self.tell(Event::Settled(Settlement { request, attempt, outcome, elapsed, ended, report }));
             }
+            Next::Probed(backend) => {
+                let report = Report { util: Some(self.util(backend)), ..Report::default() };
+                let (outcome, elapsed) = (Outcome::Served, 3 * MS);
+                self.tell(Event::Probed { backend, outcome, elapsed, report });
+            }
             Next::Wakes(token) => self.tell(Event::Timer { token }),
             Next::ListChanges => {
                 let backend = self.draw(self.shape.backends.into()) as u32;
--- a/tests/recorded.rs
+++ b/tests/recorded.rs
@@ -26,6 +26,8 @@
             Shape { rate: 400, ..base },
             Shape { rate: 300, ..rough },
             Shape { reports: true, rate: 250, ..rough },
+            Shape { probes: true, rate: 120, churn: 3000 * MS, ..base },
+            Shape { probes: true, rate: 250, ..rough },
             Shape { nodes: 1, zones: 1, backends: 1, rate: 40, ..rough },
             Shape { nodes: 300, rate: 20, backends: 60, ..rough },
             Shape { nodes: 300, rate: 50, backends: 60, weights: Weights::Live, ..base },
