--- a/tests/probing.rs
+++ b/tests/probing.rs
@@ -244,3 +244,56 @@
     let known: std::collections::BTreeSet<_> = run.probes[asked..].iter().collect();
     assert_eq!(known.len(), 6, "all that is known is probed");
 }
+
+/// Three nodes, each at home in a zone of its own, all zones just at the threshold: what one spills comes back as
+/// what the others spill, for the price of two crossings.
+#[test]
+fn zones_at_the_threshold_do_not_swap_their_load() {
+    const GAPS: [Nanos; 4] = [2 * MS, 9 * MS, 4 * MS, 7 * MS];
+    let mut loops: Vec<Loop> = (0..3)
+        .map(|home| {
+            let given = Settings { home: ZoneId(home), nodes: 3, ..pulled() };
+            let mut run = Loop::new(given, vec![]);
+            run.node =
+                Node::seeded(u64::from(home), Settings { home: ZoneId(home), nodes: 3, ..pulled() }, zones());
+            run
+        })
+        .collect();
+    let mut next = [SECOND; 3];
+    let (mut turn, mut crossed, mut all) = (0, 0, 0);
+    for _ in 0..4000 {
+        let held: Vec<usize> =
+            (0..6).map(|b| loops.iter().flat_map(|l| &l.out).filter(|out| out.1.0 == b).count()).collect();
+        for home in 0..3 {
+            let run = &mut loops[home];
+            let before = run.sends.len();
+            let mut actions = run.node.pass(5 * MS);
+            let now = run.node.now;
+            while now >= next[home] {
+                turn += 1;
+                next[home] += GAPS[turn % 4];
+                actions.extend(run.node.ask(SECOND).1);
+            }
+            run.carry_out(actions);
+            for (backend, _) in std::mem::take(&mut run.asked) {
+                let busy = (held[backend.0 as usize] as f64 / 4.0).min(1.0);
+                let actions = run.node.tell(probed(backend, Outcome::Served, util(busy)));
+                run.carry_out(actions);
+            }
+            for (request, to, sent) in std::mem::take(&mut run.out) {
+                if now < sent + 40 * MS {
+                    run.out.push((request, to, sent));
+                    continue;
+                }
+                let actions =
+                    run.node.settle_after(request, 0, Outcome::Served, now - sent, Report::default());
+                run.carry_out(actions);
+            }
+            let new = &run.sends[before..];
+            all += new.len();
+            crossed += new.iter().filter(|to| zone(**to) as usize != home).count();
+        }
+    }
+    let share = crossed as f64 / all as f64;
+    assert!(all > 9000 && share < 0.2, "{share:.3} of {all} crossed");
+}
