--- a/src/policy/figures.rs
+++ b/src/policy/figures.rs
@@ -135,5 +135,7 @@
 /// for one for this part of its aim before it crosses: twice as long as a place takes to come free there.
 pub(crate) const CALM: f64 = 0.6;
 pub(crate) const PATIENCE: f64 = 0.15;
+/// So many figures stand for a zone's usable backends, or those of half of these.
+pub(crate) const QUORUM: usize = 3;
 /// Share of a zone's backends that were not reached last, from which on it counts as cut off.
 pub(crate) const DARK_SHARE: f64 = 0.5;
--- a/src/policy/zones.rs
+++ b/src/policy/zones.rs
@@ -14,7 +14,11 @@
     /// a zone reported full would look free in a moment's lull.
     pub(super) fn utilisation(&self, zone: ZoneId) -> Option<f64> {
         let view = self.zones.get(zone.0 as usize)?;
-        let ZoneSum { used, size, .. } = self.sum(zone);
+        let ZoneSum { used, size, usable, known, .. } = self.sum(zone);
+        // Too few figures to stand for the others.
+        if self.probes.is_some() && known < QUORUM.min(usable.div_ceil(2)) {
+            return None;
+        }
         let own = view.own;
         (size > 0.0).then(|| {
             used / size * ((own + size) / (view.own_before(self.now, UTIL_SMOOTHING) + size)).max(1.0)
@@ -88,7 +92,12 @@
         if std::mem::replace(&mut self.zones[home.0 as usize].spilling, spilling) != spilling {
             let to = self.overflow.first().map_or(home.0, |zone| zone.0);
             let does = if spilling { "spills" } else { "serves" };
-            self.log(actions, || format!("home zone {does}; the best other one is {to}"));
+            let (util, ZoneSum { known, usable, .. }) = (self.utilisation(home), self.sum(home));
+            let util = util.unwrap_or(f64::NAN);
+            self.log(actions, || {
+                let by = format!("at {util:.2} by {known} of {usable} backends");
+                format!("home zone {does} {by}; the best other one is {to}")
+            });
         }
     }
 
--- a/src/state.rs
+++ b/src/state.rs
@@ -188,6 +188,9 @@
 pub(crate) struct ZoneSum {
     pub(crate) used: f64,
     pub(crate) size: f64,
+    /// Usable backends, and those of them whose figures are summed up.
+    pub(crate) usable: usize,
+    pub(crate) known: usize,
     /// Backends in service that were not reached last.
     pub(crate) dark: usize,
     pub(crate) until: Nanos,
--- a/src/view.rs
+++ b/src/view.rs
@@ -127,14 +127,17 @@
     /// do call `unsettle`.
     pub(crate) fn sum_up(&self, zone: ZoneId) -> ZoneSum {
         let members = &self.in_zone[zone.0 as usize];
-        let mut sum = ZoneSum { used: 0.0, size: 0.0, dark: 0, until: Nanos::MAX };
+        let mut sum = ZoneSum { used: 0.0, size: 0.0, usable: 0, known: 0, dark: 0, until: Nanos::MAX };
         let mut add = |backend: &Backend| {
             sum.dark += usize::from(backend.dark && backend.member.stage == Stage::InService);
             if let Some(change) = self.usable_changes(backend) {
                 sum.until = sum.until.min(change);
             }
+            let usable = self.usable(backend) && backend.member.stage == Stage::InService;
+            sum.usable += usize::from(usable);
             if self.usable(backend) && backend.util.younger_than(self.now, UTIL_TRUST) {
                 sum.until = sum.until.min(backend.util.at.unwrap_or(self.now) + UTIL_TRUST);
+                sum.known += usize::from(usable);
                 sum.used += backend.util.value * backend.size();
                 sum.size += backend.size();
             }
--- a/tests/probing.rs
+++ b/tests/probing.rs
@@ -296,3 +296,21 @@
     let share = crossed as f64 / all as f64;
     assert!(all > 9000 && share < 0.2, "{share:.3} of {all} crossed");
 }
+
+/// One figure of many says too little of its zone to leave it, or to go there.
+#[test]
+fn few_figures_do_not_stand_for_a_zone() {
+    let members: Vec<Member> = (0..20).map(|b| member(b, b / 10)).collect();
+    let mut run = Loop::new(Settings { zones: 2, ..pulled() }, members);
+    // Home's others answer without a figure.
+    let says = |to: BackendId| Some(if matches!(to.0, 1..10) { f64::NAN } else { 0.99 });
+    run.run(5 * SECOND, 10 * MS, &says, SERVES);
+    assert!(run.share(0, |to| to.0 < 10) > 0.95, "home was left for one figure of ten");
+    let says = |to: BackendId| {
+        Some(if matches!(to.0, 3..10) { f64::NAN } else { 0.99 * f64::from(u8::from(to.0 < 10)) })
+    };
+    run.run(3 * SECOND, 10 * MS, &says, SERVES);
+    let late = run.sends.len();
+    run.run(3 * SECOND, 10 * MS, &says, SERVES);
+    assert!(run.share(late, |to| to.0 >= 10) > 0.9, "three figures are enough");
+}
