--- /dev/null
+++ b/lab/src/lib.rs
@@ -0,0 +1,31 @@
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
+//! The lab: a model of the fleet, played in virtual time. This crate *decides* nothing and does no I/O: a world's text
+//! goes in, a report comes out, and the same text and seed give the same report.
+//!
+//! | file | concern |
+//! | --- | --- |
+//! | `world` | what a world is made of, read from TOML and checked |
+//! | `random` | randomness split by purpose, so that one more draw does not move all others |
+//! | `server` | a server: cores, queue, choking on its load, warming up, load reports that lag |
+//! | `play` | one world and any number of instances of the decision module, event by event |
+//! | `oracle` | the four rules, checked from the outside |
+//! | `report` | what came out |
+
+mod oracle;
+mod play;
+mod random;
+mod report;
+mod server;
+mod world;
+
+pub use oracle::{Broken, Rule};
+pub use play::{Progress, play};
+pub use report::{ClassReport, Report};
+pub use world::{Class, Clients, Discovery, Group, Kind, Trouble, World, WorldError};
+
+/// A time or a span in nanoseconds of the world's clock.
+pub type Nanos = u64;
+
+/// The world that is played where none is named.
+pub const DEFAULT_WORLD: &str = include_str!("../worlds/evening.toml");
--- /dev/null
+++ b/lab/src/oracle.rs
@@ -0,0 +1,183 @@
+//! The rules, checked from the outside: by what passes between nodes, clients and servers, with no word of the
+//! decision module's own.
+
+use std::collections::HashMap;
+
+use crate::Nanos;
+
+const MS: Nanos = 1_000_000;
+/// A final answer is in time up to here after the client's time.
+pub(crate) const SLACK: Nanos = 20 * MS;
+/// Nothing new is sent to a server from so long after the node was told that it drains or is gone.
+pub(crate) const GRACE: Nanos = 1000 * MS;
+
+/// Which rule.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Rule {
+    /// One final answer a request, in time.
+    Answer,
+    /// No repeat beyond what the class allows.
+    Repeat,
+    /// Nothing new to a server that drains or is gone.
+    Drain,
+}
+
+/// A broken rule, with what led up to it.
+#[derive(Clone, Debug)]
+pub struct Broken {
+    /// Which.
+    pub rule: Rule,
+    /// When, on the world's clock.
+    pub at: Nanos,
+    /// All that happened to the request, and to the server that it concerns, in order.
+    pub events: Vec<String>,
+}
+
+struct Request {
+    once: bool,
+    not_after: Nanos,
+    answered: bool,
+    /// Attempts by number: whether it may have run, as far as is known.
+    may_have_run: Vec<bool>,
+    events: Vec<String>,
+}
+
+/// Keeps the books.
+#[derive(Default)]
+pub(crate) struct Oracle {
+    requests: HashMap<(usize, u64), Request>,
+    /// When a node was told that a server drains or is gone.
+    told: HashMap<(usize, u32), Nanos>,
+    pub(crate) broken: Vec<Broken>,
+    /// Broken rules beyond those that are kept.
+    pub(crate) more: usize,
+}
+
+const KEPT: usize = 16;
+
+impl Oracle {
+    fn report(&mut self, rule: Rule, at: Nanos, events: Vec<String>) {
+        if self.broken.len() < KEPT {
+            self.broken.push(Broken { rule, at, events });
+        } else {
+            self.more += 1;
+        }
+    }
+
+    pub(crate) fn told(&mut self, node: usize, server: u32, serving: bool, now: Nanos) {
+        if serving {
+            self.told.remove(&(node, server));
+        } else {
+            self.told.entry((node, server)).or_insert(now);
+        }
+    }
+
+    pub(crate) fn taken(&mut self, node: usize, request: u64, once: bool, not_after: Nanos, now: Nanos) {
+        let events = vec![format!("{} ms: node {node} takes request {request}", now / MS)];
+        let request_ = Request { once, not_after, answered: false, may_have_run: Vec::new(), events };
+        self.requests.insert((node, request), request_);
+    }
+
+    pub(crate) fn sent(&mut self, node: usize, request: u64, server: u32, now: Nanos) {
+        let told = self.told.get(&(node, server)).copied();
+        let Some(open) = self.requests.get_mut(&(node, request)) else {
+            let event = format!("{} ms: node {node} sends request {request}, which has ended", now / MS);
+            return self.report(Rule::Answer, now, vec![event]);
+        };
+        open.events.push(format!("{} ms: sent to server {server}", now / MS));
+        let again = open.once && open.may_have_run.iter().any(|ran| *ran);
+        let ended = open.answered;
+        open.may_have_run.push(true);
+        let events = open.events.clone();
+        if again {
+            self.report(Rule::Repeat, now, events.clone());
+        }
+        if ended {
+            self.report(Rule::Answer, now, events.clone());
+        }
+        if let Some(told) = told.filter(|told| now > told + GRACE) {
+            let mut events = events;
+            events.insert(0, format!("{} ms: node {node} was told that server {server} leaves", told / MS));
+            self.report(Rule::Drain, now, events);
+        }
+    }
+
+    /// An attempt has ended; `never_ran` where that is proven.
+    pub(crate) fn ended(&mut self, node: usize, request: u64, attempt: u32, never_ran: bool, now: Nanos) {
+        let Some(open) = self.requests.get_mut(&(node, request)) else { return };
+        let end = if never_ran { "never ran" } else { "may have run" };
+        open.events.push(format!("{} ms: attempt {attempt} has ended, {end}", now / MS));
+        if let Some(ran) = open.may_have_run.get_mut(attempt as usize) {
+            *ran &= !never_ran;
+        }
+    }
+
+    /// A final answer; `refused` says that trying again does no harm.
+    pub(crate) fn answered(&mut self, node: usize, request: u64, refused: bool, now: Nanos) {
+        let Some(open) = self.requests.get_mut(&(node, request)) else { return };
+        open.events.push(format!("{} ms: answered{}", now / MS, if refused { ", refused" } else { "" }));
+        let (twice, late) = (open.answered, now > open.not_after + SLACK);
+        let harm = refused && open.once && open.may_have_run.iter().any(|ran| *ran);
+        open.answered = true;
+        let events = open.events.clone();
+        if twice || late {
+            self.report(Rule::Answer, now, events.clone());
+        }
+        if harm {
+            self.report(Rule::Repeat, now, events);
+        }
+    }
+
+    /// Nothing more can come of a request: it must have been answered.
+    pub(crate) fn over(&mut self, node: usize, request: u64, now: Nanos) {
+        let Some(open) = self.requests.remove(&(node, request)) else { return };
+        if !open.answered {
+            self.report(Rule::Answer, now, open.events);
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn rules(play: impl FnOnce(&mut Oracle)) -> Vec<Rule> {
+        let mut oracle = Oracle::default();
+        oracle.taken(0, 1, true, 100 * MS, 0);
+        play(&mut oracle);
+        oracle.broken.iter().map(|broken| broken.rule).collect()
+    }
+
+    #[test]
+    fn each_rule_is_seen_to_break_and_to_be_kept() {
+        let kept = rules(|o| {
+            o.sent(0, 1, 5, 0);
+            o.ended(0, 1, 0, true, MS);
+            o.sent(0, 1, 6, MS);
+            o.answered(0, 1, false, 2 * MS);
+            o.over(0, 1, SLACK);
+        });
+        assert_eq!(kept, []);
+        let twice = rules(|o| {
+            o.sent(0, 1, 5, 0);
+            o.ended(0, 1, 0, false, MS);
+            o.sent(0, 1, 6, MS);
+        });
+        assert_eq!(twice, [Rule::Repeat]);
+        let harm = rules(|o| {
+            o.sent(0, 1, 5, 0);
+            o.answered(0, 1, true, MS);
+        });
+        assert_eq!(harm, [Rule::Repeat]);
+        assert_eq!(rules(|o| o.over(0, 1, 200 * MS)), [Rule::Answer]);
+        assert_eq!(rules(|o| o.answered(0, 1, false, 100 * MS + SLACK + 1)), [Rule::Answer]);
+        assert_eq!(rules(|o| (0..2).for_each(|_| o.answered(0, 1, false, MS))), [Rule::Answer]);
+        let drained = |after| {
+            rules(|o| {
+                o.told(0, 5, false, 0);
+                o.sent(0, 1, 5, after);
+            })
+        };
+        assert_eq!((drained(GRACE), drained(GRACE + 1)), (vec![], vec![Rule::Drain]));
+    }
+}
