Take what nobody calls out of the probing crate's interface

The scheduler's count of probes out and the budget were public and used by nobody outside. No behaviour changes; clippy, docs and the crate's tests pass.

--- a/probing/src/budget.rs
+++ b/probing/src/budget.rs
@@ -2,7 +2,7 @@
 
 /// Probes saved up: each arrival earns a part of one. Firm: what was never earned is never spent.
 #[derive(Clone, Copy, Debug)]
-pub struct Budget {
+pub(crate) struct Budget {
     per_request: f64,
     saved: f64,
     most: f64,
--- a/probing/src/lib.rs
+++ b/probing/src/lib.rs
@@ -20,7 +20,6 @@
 mod members;
 mod scheduler;
 
-pub use budget::Budget;
 pub use keep::Candidate;
 pub use members::{End, Interest};
 pub use scheduler::{Ages, Limits, LimitsError, Scheduler};
--- a/probing/src/scheduler.rs
+++ b/probing/src/scheduler.rs
@@ -341,9 +341,4 @@
         }
         ages
     }
-
-    /// Probes out now.
-    pub fn out(&self) -> usize {
-        self.out.len()
-    }
 }
