--- a/node/src/prober.rs
+++ b/node/src/prober.rs
@@ -19,7 +19,7 @@
 use tokio::time::sleep;
 
 use crate::driver::{Clock, Ending, Node, ProbeTicket};
-use crate::upstream::{Counted, IDLE_PART, Link, figures, open_link};
+use crate::upstream::{Counted, IDLE_PART, Link, broken, figures, open_link};
 
 /// Where the load report is.
 const PATH: &str = "/stats";
@@ -135,11 +135,7 @@
             }
             Err(mut error) => match error.take_message() {
                 Some(_) => None,
-                None => Some(Ending::bare(if error.error().is_parse() {
-                    Outcome::Spoilt
-                } else {
-                    Outcome::Reset
-                })),
+                None => Some(Ending::bare(broken(error.error()))),
             },
         }
     }
--- a/node/src/upstream.rs
+++ b/node/src/upstream.rs
@@ -371,7 +371,7 @@
 }
 
 /// What a broken answer was: a connection that ended, or one that brought what is no answer.
-fn broken(error: &hyper::Error) -> Outcome {
+pub(crate) fn broken(error: &hyper::Error) -> Outcome {
     if error.is_parse() { Outcome::Spoilt } else { Outcome::Reset }
 }
 
--- a/src/policy/probes.rs
+++ b/src/policy/probes.rs
@@ -51,8 +51,7 @@
         probes.review(self.now);
         // The work of probes stays a small part of that of requests, however little a probe is said to cost.
         let idle = self.classes.iter().map(|class| class.idle).fold(f64::INFINITY, f64::min);
-        let price = PROBE_SPEND / self.settings.probe_price.max(PROBE_SPEND);
-        probes.earn_by(price.min(PROBE_WORK_SHARE * idle / PROBE_WORK as f64));
+        probes.earn_by(PROBE_WORK_SHARE * idle / PROBE_WORK as f64);
         let (home, best) = (self.settings.home, self.overflow.first().copied());
         let near = self.utilisation(home).is_none_or(|util| util > self.threshold() - PROBE_NEAR);
         for id in probes.kept().collect::<Vec<_>>() {
@@ -116,7 +115,7 @@
             // A server that can't be reached is out of order for requests too. One that answers a probe has
             // not yet shown that it serves.
             End::Unreached => self.judge(id, outcome, actions),
-            _ => self.report(id, Report { util, ..report }),
+            _ => self.report(id, report),
         }
     }
 }
