Lab: links, lists, tenants, node crashes, cold servers and reference policies; a stale list takes no notice back

Need: the lab's first layer had no connections, no loss, no replicas that lag, no nodes that die, and nothing to compare the module with.

Change: servers work event by event (queue, cancel, connection table, handshake, hang, errors, falling over when rushed while cold); links jitter, lose and lengthen; lists are asked for, fail, lag and go stale; clients have zones, tenants, closed loops and hang-ups; nodes crash and stop. Six reference policies run over the module's interface.

Found: a whole list from a replica that lags brought drained backends back (rule 3). A notice now binds against whole lists for five minutes, until a later start or a change (src/notices.rs).

--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -7,22 +7,25 @@
 //! | --- | --- |
 //! | `world` | what a world is made of, read from TOML and checked |
 //! | `random` | randomness split by purpose, so that one more draw does not move all others |
-//! | `server` | a server: cores, queue, choking on its load, warming up, load reports that lag |
-//! | `play` | one world and any number of instances of the decision module, event by event |
+//! | `server` | a server: cores, queue, choking, warming up and falling over, connections, load reports that lag |
+//! | `play` | one world and any number of nodes, event by event: `clients`, `links`, `servers`, `troubles` |
+//! | `reference` | policies to compare the decision module with |
 //! | `oracle` | the four rules, checked from the outside |
 //! | `report` | what came out |
 
 mod oracle;
 mod play;
 mod random;
+mod reference;
 mod report;
 mod server;
 mod world;
 
 pub use oracle::{Broken, Rule};
-pub use play::{Progress, play};
-pub use report::{ClassReport, Report};
-pub use world::{Class, Clients, Discovery, Group, Kind, Trouble, World, WorldError};
+pub use play::{Decider, Progress, play, play_with};
+pub use reference::Policy;
+pub use report::{BUCKETS, ClassReport, Report};
+pub use world::{Class, Clients, Discovery, Group, Kind, Tenant, Trouble, World, WorldError};
 
 /// A time or a span in nanoseconds of the world's clock.
 pub type Nanos = u64;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod api;
 mod held;
 mod learning;
+mod notices;
 mod policy;
 mod state;
 mod view;
--- a/src/policy/discovery.rs
+++ b/src/policy/discovery.rs
@@ -5,10 +5,12 @@
 use crate::state::*;
 
 impl Balancer {
-    pub(super) fn fleet(&mut self, scope: ListScope, members: Vec<Member>) {
+    pub(super) fn fleet(&mut self, scope: ListScope, mut members: Vec<Member>) {
         if scope != ListScope::Cached {
             self.ask_failures = 0;
         }
+        let started = |id| self.backends.get(&id).and_then(|backend| backend.member.online_since);
+        self.notices.apply(scope, &mut members, started, self.now);
         self.take_list(scope, members, SUBSET);
         if self.settings.weights == Weights::Live && scope != ListScope::Cached {
             self.interpret();
--- a/src/state.rs
+++ b/src/state.rs
@@ -8,6 +8,7 @@
 
 use crate::api::*;
 use crate::held::{Held, Hold};
+use crate::notices::Notices;
 
 pub(crate) const SECOND: Nanos = 1_000_000_000;
 /// Time constant of the node's own rates: some requests of each of many nodes, yet short against a trouble.
@@ -267,6 +268,8 @@
     pub(crate) qualified: usize,
     pub(crate) refresh_at: Nanos,
     pub(crate) retry_tokens: f64,
+    /// Who has been said to leave.
+    pub(crate) notices: Notices,
     pub(crate) ask_at: Option<Nanos>,
     pub(crate) ask_failures: u32,
     pub(crate) log_at: Nanos,
--- a/src/view.rs
+++ b/src/view.rs
@@ -7,6 +7,7 @@
 
 use crate::api::*;
 use crate::held::{self, Held};
+use crate::notices::Notices;
 use crate::policy::figures::*;
 use crate::state::*;
 
@@ -56,6 +57,7 @@
             qualified: 0,
             refresh_at: now,
             retry_tokens: 1.0,
+            notices: Notices::default(),
             ask_at: None,
             ask_failures: 0,
             log_at: 0,
