--- /dev/null
+++ b/experiments/tests/experiments.rs
@@ -0,0 +1,227 @@
+//! Whole experiments: resumed after any interruption, the same on any number of threads, and honest about what is missing.
+
+use std::path::Path;
+
+use ivyhatch_experiments::{
+    BUILT_IN, Experiment, Hunt, Measure, Plan, Results, ResultsError, hunt, page, run, summarise,
+};
+use ivyhatch_lab::{DEFAULT_WORLD, Policy, World};
+
+const TEXT: &str = r#"
+name = "small <one>"
+seeds = 3
+measures = ["served", "p99_ms", "crossed"]
+
+[[world]]
+name = "calm"
+set = { "seconds" = 2.0, "trouble" = [] }
+
+[[world]]
+name = "crowded"
+set = { "seconds" = 2.0, "trouble" = [], "clients.rate" = 400.0, "servers[0].count" = 3 }
+
+[[variant]]
+name = "module"
+
+[[variant]]
+name = "turns"
+policy = "round_robin"
+"#;
+
+fn plan() -> Plan {
+    Experiment::read(TEXT).and_then(|experiment| experiment.plan(Path::new(""), "test")).expect("sound")
+}
+
+fn played(path: &Path, threads: usize) -> (Results, usize) {
+    let mut results = Results::open(path).expect("a file");
+    let (plan, mut first) = (plan(), None);
+    let failures = run(&plan, &mut results, threads, &mut |done, _| {
+        first.get_or_insert(done);
+    })
+    .expect("kept");
+    assert!(failures.is_empty());
+    (results, first.expect("told how many were there"))
+}
+
+fn report(results: &Results) -> String {
+    let plan = plan();
+    page(&plan, results, &summarise(&plan, results))
+}
+
+#[test]
+fn the_report_is_the_same_on_one_thread_and_on_four() {
+    let folder = tempfile::tempdir().unwrap();
+    let one = report(&played(&folder.path().join("one"), 1).0);
+    assert_eq!(one, report(&played(&folder.path().join("four"), 4).0));
+    assert!(
+        one.contains("small &lt;one&gt;") && one.contains("12 of 12 plays"),
+        "names are escaped, all is played"
+    );
+    // Two worlds, each with its course, its answer times, and no interval from three seeds.
+    assert_eq!(one.matches("<svg").count(), 4);
+}
+
+/// Whatever an interruption leaves of the file, what was whole is kept, the rest is played, and the report is the same.
+#[test]
+fn results_cut_at_any_byte_are_resumed() {
+    let folder = tempfile::tempdir().unwrap();
+    let path = folder.path().join("whole");
+    let whole = report(&played(&path, 2).0);
+    let bytes = std::fs::read(&path).unwrap();
+    let lines = bytes.iter().filter(|byte| **byte == b'\n').count();
+    assert_eq!(lines, 12);
+    // Near the ends of lines each byte, elsewhere some: a play takes its time.
+    let ends: Vec<usize> =
+        bytes.iter().enumerate().filter(|(_, byte)| **byte == b'\n').map(|(at, _)| at).collect();
+    for cut in 0..bytes.len() {
+        let near = ends.iter().any(|end| cut.abs_diff(*end) < 2);
+        if cut % 997 != 0 && !near {
+            continue;
+        }
+        let path = folder.path().join(format!("cut-{cut}"));
+        std::fs::write(&path, &bytes[..cut]).unwrap();
+        let there = bytes[..cut].iter().filter(|byte| **byte == b'\n').count();
+        let results = Results::open(&path).expect("a file");
+        assert_eq!(results.unread, 0);
+        assert_eq!(std::fs::metadata(&path).unwrap().len() as usize, cut - results.cut, "cut to whole lines");
+        drop(results);
+        if near {
+            let (results, first) = played(&path, 4);
+            assert_eq!(first, there, "cut at {cut}: what was whole is not played again");
+            assert_eq!(report(&results), whole, "cut at {cut}");
+        }
+    }
+}
+
+#[test]
+fn lines_that_are_no_result_are_left_alone_and_two_writers_are_kept_apart() {
+    let folder = tempfile::tempdir().unwrap();
+    let path = folder.path().join("results");
+    std::fs::write(&path, "{\"run\": 5}\nnot even JSON\n").unwrap();
+    let results = Results::open(&path).expect("a file");
+    assert_eq!((results.unread, results.cut), (2, 0));
+    assert!(matches!(Results::open(&path), Err(ResultsError::Busy)));
+    drop(results);
+    assert!(Results::open(&path).is_ok(), "free again");
+}
+
+/// What changes a result changes its key: the world, the variant, the seed, the build.
+#[test]
+fn results_of_another_build_or_world_are_played_again() {
+    let of = |text: &str, build: &str| {
+        let plan =
+            Experiment::read(text).and_then(|experiment| experiment.plan(Path::new(""), build)).unwrap();
+        plan.runs().into_iter().map(|run| plan.key(run)).collect::<std::collections::BTreeSet<_>>()
+    };
+    let keys = of(TEXT, "test");
+    assert_eq!(keys.len(), 12);
+    assert!(keys.is_disjoint(&of(TEXT, "other")));
+    assert_eq!(
+        keys.intersection(&of(&TEXT.replace("400.0", "401.0"), "test")).count(),
+        6,
+        "the calm ones stay"
+    );
+    assert_eq!(keys.intersection(&of(&TEXT.replace("round_robin", "random"), "test")).count(), 6);
+}
+
+#[test]
+fn what_is_wrong_is_named_with_what_would_be_right() {
+    for (from, to, says) in [
+        ("seeds = 3", "seeds = 0", "seeds: 0: 1 to 100000"),
+        ("\"served\"", "\"severed\"", "unknown variant `severed`"),
+        ("\"clients.rate\"", "\"client.rate\"", "world \"crowded\": set: client.rate: a path into the world"),
+        ("servers[0]", "servers[9]", "set: servers[9].count: a path into the world"),
+        ("400.0", "-4.0", "world \"crowded\": clients.rate: -4: above 0"),
+        ("name = \"turns\"", "name = \"module\"", "variant.name: module: another name: two have this one"),
+        (
+            "round_robin\"",
+            "round_robin\"\nprobes = true",
+            "variant[1].probes, second_copies: turns: only policy",
+        ),
+        ("policy = \"round_robin\"", "program = \"no-such\"", "variant[1].program: no-such: No such file"),
+        ("seeds = 3", "seeds = 3\nbaseline = \"none\"", "baseline: none: the name of a variant"),
+        ("name = \"calm\"", "name = \"calm\"\nbuilt_in = \"moon\"", "built_in: moon: one of evening, paper"),
+    ] {
+        let text = TEXT.replacen(from, to, 1);
+        assert_ne!(text, TEXT, "{from} is there");
+        let error = Experiment::read(&text).and_then(|experiment| experiment.plan(Path::new(""), "test"));
+        let error = error.expect_err(to).to_string();
+        assert!(error.contains(says), "{to}: {error}");
+    }
+}
+
+/// Another build that is none, or breaks off, is told of; the others' results stand.
+#[test]
+fn a_build_that_gives_no_report_is_told_of() {
+    let folder = tempfile::tempdir().unwrap();
+    let text = TEXT.replace("policy = \"round_robin\"", "program = \"/bin/false\"");
+    let plan = Experiment::read(&text).and_then(|experiment| experiment.plan(folder.path(), "test")).unwrap();
+    let mut results = Results::open(&folder.path().join("results")).unwrap();
+    let failures = run(&plan, &mut results, 2, &mut |_, _| {}).expect("kept");
+    assert_eq!(failures.len(), 6);
+    assert!(failures[0].reason.starts_with("/bin/false: exit status: 1"), "{}", failures[0].reason);
+    let summary = summarise(&plan, &results);
+    assert_eq!((summary.played, summary.planned), (6, 12));
+    assert!(page(&plan, &results, &summary).contains("not played"));
+}
+
+#[test]
+fn the_built_in_experiments_are_sound() {
+    for (name, text) in BUILT_IN {
+        let plan = Experiment::read(text).and_then(|experiment| experiment.plan(Path::new(""), "test"));
+        let plan = plan.unwrap_or_else(|error| panic!("{name}: {error}"));
+        assert!(plan.runs().len() > 100);
+    }
+}
+
+/// The paper's finding, on its cluster: delay between workers costs round robin most of its throughput, and the rule
+/// hardly any.
+#[test]
+fn the_papers_order_is_rebuilt() {
+    let (_, text) = BUILT_IN.iter().find(|(name, _)| *name == "paper").expect("built in");
+    let mut experiment = Experiment::read(text).expect("sound");
+    experiment.seeds = 1;
+    experiment
+        .worlds
+        .retain(|world| ["delay 3 ms, 8:8:8:8", "delay 18 ms, 8:8:8:8"].contains(&world.name.as_str()));
+    experiment.variants.retain(|variant| variant.name != "module");
+    for world in &mut experiment.worlds {
+        world.set.insert("seconds".into(), 2.0.into());
+    }
+    let plan = experiment.plan(Path::new(""), "test").expect("sound");
+    let folder = tempfile::tempdir().unwrap();
+    let mut results = Results::open(&folder.path().join("results")).unwrap();
+    run(&plan, &mut results, 2, &mut |_, _| {}).expect("kept");
+    let summary = summarise(&plan, &results);
+    let throughput = |world: &str, variant: &str| {
+        let of = |cell: &&ivyhatch_experiments::Cell| {
+            cell.world.starts_with(world)
+                && cell.variant == variant
+                && cell.measure == Measure::Throughput.name()
+        };
+        summary.cells.iter().find(of).expect("measured").mean
+    };
+    for policy in ["round robin", "random"] {
+        assert!(throughput("delay 18", policy) < 0.3 * throughput("delay 3 ", policy), "{policy}");
+    }
+    assert!(throughput("delay 18", "paper at 0.9") > 0.9 * throughput("delay 3 ", "paper at 0.9"));
+    assert!(throughput("delay 3 ", "paper at 0.9") > 1.1 * throughput("delay 3 ", "round robin"));
+}
+
+/// A hunt finds where turns serve less than random choice or the reverse, shrinks it, and does so again the same.
+#[test]
+fn a_hunt_finds_the_same_again_and_shrinks_it() {
+    let mut from = World::read(DEFAULT_WORLD).expect("sound");
+    from.seconds = 4.0;
+    from.trouble.clear();
+    let hunted = |threads, least| {
+        let against = vec![Policy::Paper, Policy::LeastRequests];
+        hunt(&Hunt { from: from.clone(), against, rounds: 2, seed: 5, threads, least }, &mut |_, _, _| {})
+    };
+    let found = hunted(1, 0.0).expect("some gap");
+    let again = hunted(4, 0.0).expect("the same");
+    assert_eq!(found.world.write(), again.world.write());
+    assert!(found.best.1 > found.module && found.rules_broken == 0);
+    World::read(&found.world.write()).expect("a world that can be kept");
+    assert!(hunted(4, 1.0).is_none(), "no gap is that large");
+}
--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -32,3 +32,7 @@
 
 /// The world that is played where none is named.
 pub const DEFAULT_WORLD: &str = include_str!("../worlds/evening.toml");
+
+/// The worlds that are built in, by name.
+pub const BUILT_IN_WORLDS: [(&str, &str); 2] =
+    [("evening", DEFAULT_WORLD), ("paper", include_str!("../worlds/paper.toml"))];
--- a/lab/src/server.rs
+++ b/lab/src/server.rs
@@ -15,8 +15,6 @@
 /// ... until it has had nothing to do for so long, or this has passed.
 const RESTS: Nanos = 3 * SECOND;
 const CHOKED_FOR: Nanos = 25 * SECOND;
-/// More waiting for each core are sent away.
-const FULL_AT: usize = 12;
 /// It starts with this part of its capacity, and is warm after that.
 pub(crate) const COLD: f64 = 0.33;
 pub(crate) const WARM_AFTER: Nanos = 6 * SECOND;
@@ -27,8 +25,6 @@
 const TIP_SLACK: f64 = 0.5;
 /// Its figures are renewed this often.
 const REPORTS_EVERY: Nanos = 700_000_000;
-/// Work of answering a probe.
-const PROBE_WORK: f64 = 4e6;
 /// The time constant of the utilisation that policies with perfect sight see.
 const SMOOTHING: f64 = 400e6;
 
@@ -170,7 +166,8 @@
 
     /// Whether one more waiting would have it choke, should it last.
     pub(crate) fn crowds(&self) -> bool {
-        self.queue.len() + 1 >= CHOKES_AT * self.group.cores as usize
+        let most = if self.group.chokes { CHOKES_AT } else { self.group.queue as usize };
+        self.queue.len() + 1 >= most * self.group.cores as usize
     }
 
     /// Work done in a nanosecond of one core.
@@ -196,7 +193,7 @@
             return Taken::Falls { rushed };
         }
         let (waiting, cores) = (self.queue.len(), self.group.cores as usize);
-        if self.state != State::Serving || self.lies || waiting >= FULL_AT * cores {
+        if self.state != State::Serving || self.lies || waiting >= self.group.queue as usize * cores {
             return Taken::Full;
         }
         self.choke(waiting, now);
@@ -225,7 +222,7 @@
         if self.running.is_empty() && now.saturating_sub(self.idle_since) >= RESTS {
             self.choked_until = 0;
         }
-        if waiting < CHOKES_AT * self.group.cores as usize {
+        if !self.group.chokes || waiting < CHOKES_AT * self.group.cores as usize {
             self.crowded_since = None;
             return;
         }
@@ -283,7 +280,7 @@
 
     /// The work of answering a probe, which waits for a core as all work does.
     pub(crate) fn probe(&mut self, id: u64, now: Nanos) -> Taken {
-        self.add(Job { id, work: PROBE_WORK }, now)
+        self.add(Job { id, work: self.group.probe_ms * 1e6 }, now)
     }
 
     /// A new connection: whether there is room for it.
@@ -315,7 +312,7 @@
         assert_eq!(server.finish(0, SECOND / 2), (true, Some((2, SECOND))));
         assert_eq!(server.finish(0, SECOND / 2), (false, None), "done once");
         let full = (10..110).filter(|&id| server.take(job(id), true, SECOND / 2) == Taken::Full).count();
-        assert_eq!(full, 100 - (2 * FULL_AT - 1), "one waited already");
+        assert_eq!(full, 100 - (2 * 12 - 1), "one waited already");
     }
 
     #[test]
--- a/lab/src/world.rs
+++ b/lab/src/world.rs
@@ -133,6 +133,27 @@
     /// Work of a new connection's handshake.
     #[serde(default)]
     pub handshake_ms: f64,
+    /// Work of answering a probe.
+    #[serde(default = "probe_ms")]
+    pub probe_ms: f64,
+    /// Requests that may wait for each core; more are sent away.
+    #[serde(default = "queue")]
+    pub queue: u32,
+    /// It turns several times slower when many wait for a while.
+    #[serde(default = "chokes")]
+    pub chokes: bool,
+}
+
+fn probe_ms() -> f64 {
+    4.0
+}
+
+fn queue() -> u32 {
+    12
+}
+
+fn chokes() -> bool {
+    true
 }
 
 impl Default for Group {
@@ -145,6 +166,9 @@
             errors: 0.0,
             connections: 0,
             handshake_ms: 0.0,
+            probe_ms: probe_ms(),
+            queue: queue(),
+            chokes: chokes(),
         }
     }
 }
@@ -320,6 +344,7 @@
             within(&field("speed"), group.speed, TINY, 1e6, "above 0")?;
             within(&field("errors"), group.errors, 0.0, 1.0, "0 to 1")?;
             within(&field("handshake_ms"), group.handshake_ms, 0.0, 10_000.0, "0 to 10000")?;
+            within(&field("probe_ms"), group.probe_ms, 0.0, 10_000.0, "0 to 10000")?;
         }
         for (number, trouble) in self.trouble.iter().enumerate() {
             let field = |name: &str| format!("trouble[{number}].{name}");
