--- a/experiments/src/hunt.rs
+++ b/experiments/src/hunt.rs
@@ -101,24 +101,6 @@
     all.into_iter().map(|(_, score)| score).collect()
 }
 
-const KINDS: [Kind; 15] = [
-    Kind::Neighbour,
-    Kind::Liar,
-    Kind::Drain,
-    Kind::Restart,
-    Kind::ZoneCut,
-    Kind::Burst,
-    Kind::Errors,
-    Kind::Hang,
-    Kind::Deaf,
-    Kind::Far,
-    Kind::Lossy,
-    Kind::ListDown,
-    Kind::ListStale,
-    Kind::NodeCrash,
-    Kind::NodeStop,
-];
-
 fn rounded(value: f64) -> f64 {
     let scale = 10f64.powi(2 - value.abs().max(1e-9).log10().floor() as i32);
     (value * scale).round() / scale
@@ -130,7 +112,7 @@
 }
 
 fn trouble(random: &mut ChaCha8Rng, world: &World) -> Trouble {
-    let kind = KINDS[random.random_range(0..KINDS.len())];
+    let kind = Kind::ALL[random.random_range(0..Kind::ALL.len())];
     let from = rounded(world.seconds * random.random_range(0.0..0.7));
     let to = rounded(from + world.seconds * random.random_range(0.05..0.5));
     let servers: u32 = world.servers.iter().map(|group| group.count).sum();
--- a/lab/src/world.rs
+++ b/lab/src/world.rs
@@ -245,6 +245,27 @@
     NodeStop,
 }
 
+impl Kind {
+    /// All of them.
+    pub const ALL: [Self; 15] = [
+        Self::Neighbour,
+        Self::Liar,
+        Self::Drain,
+        Self::Restart,
+        Self::ZoneCut,
+        Self::Burst,
+        Self::Errors,
+        Self::Hang,
+        Self::Deaf,
+        Self::Far,
+        Self::Lossy,
+        Self::ListDown,
+        Self::ListStale,
+        Self::NodeCrash,
+        Self::NodeStop,
+    ];
+}
+
 /// A world that can't be played.
 #[derive(Debug, thiserror::Error)]
 pub enum WorldError {
--- a/lab/tests/worlds.rs
+++ b/lab/tests/worlds.rs
@@ -81,7 +81,7 @@
     let calm = played(&small(100.0, vec![]), 3);
     assert!(calm.served > 0.98, "{}", calm.served);
     for kind in
-        KINDS.into_iter().filter(|kind| !matches!(kind, Kind::Burst | Kind::ListDown | Kind::ListStale))
+        Kind::ALL.into_iter().filter(|kind| !matches!(kind, Kind::Burst | Kind::ListDown | Kind::ListStale))
     {
         let report = played(&small(100.0, vec![trouble(kind, 3.0, 9.0)]), 3);
         assert_eq!(report.rules_broken, 0, "{kind:?}: {:?}", report.broken);
@@ -97,26 +97,8 @@
     assert!(flooded.served < 0.9 && flooded.served > 0.3, "{}", flooded.served);
 }
 
-const KINDS: [Kind; 15] = [
-    Kind::Neighbour,
-    Kind::Liar,
-    Kind::Drain,
-    Kind::Restart,
-    Kind::ZoneCut,
-    Kind::Burst,
-    Kind::Errors,
-    Kind::Hang,
-    Kind::Deaf,
-    Kind::Far,
-    Kind::Lossy,
-    Kind::ListDown,
-    Kind::ListStale,
-    Kind::NodeCrash,
-    Kind::NodeStop,
-];
-
 fn troubles() -> impl Strategy<Value = Trouble> {
-    let kinds = prop::sample::select(KINDS.to_vec());
+    let kinds = prop::sample::select(Kind::ALL.to_vec());
     let (servers, nodes) = (prop::collection::vec(0..9u32, 1..6), prop::collection::vec(0..6u32, 1..3));
     (kinds, 0.0..8.0, 0.2..6.0, servers, nodes, 0..3u32, 0.0..0.95, 0.2..5.0).prop_map(
         |(kind, from, len, servers, nodes, zone, part, times)| {
