Say once how a server's use is smoothed, times are summed and a trouble's span is read

Need: a last reading of the lab found three things written twice: the smoothing of a server's utilisation, the sum of several histograms in the summary and the report, and the span of a trouble in the lab and on sockets.

Change: each has one place, which both sides call. No behaviour changes.

--- a/experiments/src/page.rs
+++ b/experiments/src/page.rs
@@ -7,7 +7,7 @@
 
 use crate::results::Results;
 use crate::spec::{Measure, Plan};
-use crate::summary::{Cell, Interval, Summary, reports, times};
+use crate::summary::{Cell, Interval, Summary, reports, times, together};
 
 const COLOURS: [RGBColor; 8] = [
     RGBColor(0x1b, 0x4f, 0x9c),
@@ -223,10 +223,7 @@
                 let parts: Vec<_> = plays.iter().filter_map(|(_, report)| of(report).get(number)).collect();
                 let asked: u64 = parts.iter().map(|part| part.asked - part.left).sum();
                 let in_time: u64 = parts.iter().map(|part| part.in_time).sum();
-                let times = parts.iter().filter_map(|part| part.histogram()).reduce(|mut sum, other| {
-                    sum.add(&other).expect("the same bounds");
-                    sum
-                });
+                let times = together(parts.iter().copied());
                 let p99 = times.map_or(0.0, |times| times.value_at_quantile(0.99) as f64 / 1000.0);
                 let _ = write!(page, "<td>{:.3}, {p99:.0}</td>", in_time as f64 / asked.max(1) as f64);
             }
--- a/experiments/src/summary.rs
+++ b/experiments/src/summary.rs
@@ -1,7 +1,7 @@
 //! Means, and differences with their confidence intervals.
 
 use hdrhistogram::Histogram;
-use ivyhatch_lab::Report;
+use ivyhatch_lab::{ClassReport, Report};
 use rand::RngExt;
 use rand_chacha::ChaCha8Rng;
 use rand_chacha::rand_core::SeedableRng;
@@ -73,8 +73,12 @@
 
 /// The times of several plays together, in microseconds; none where nothing was served.
 pub(crate) fn times<'a>(reports: impl Iterator<Item = &'a Report>) -> Option<Histogram<u64>> {
-    let classes = reports.flat_map(|report| &report.classes);
-    classes.filter_map(ivyhatch_lab::ClassReport::histogram).reduce(|mut sum, other| {
+    together(reports.flat_map(|report| &report.classes))
+}
+
+/// The times of several parts together; see [`times`].
+pub(crate) fn together<'a>(parts: impl Iterator<Item = &'a ClassReport>) -> Option<Histogram<u64>> {
+    parts.filter_map(ClassReport::histogram).reduce(|mut sum, other| {
         sum.add(&other).expect("the same bounds");
         sum
     })
--- a/lab/src/server.rs
+++ b/lab/src/server.rs
@@ -157,19 +157,20 @@
         self.running.len() as f64 / f64::from(self.group.cores)
     }
 
-    fn smooth(&mut self, now: Nanos) {
+    fn smoothed_at(&self, now: Nanos) -> f64 {
         let past = now.saturating_sub(self.smoothed.0) as f64;
-        let figure = self.smoothed.1 + (self.busy() - self.smoothed.1) * (1.0 - (-past / SMOOTHING).exp());
-        self.smoothed = (now, figure);
+        self.smoothed.1 + (self.busy() - self.smoothed.1) * (1.0 - (-past / SMOOTHING).exp())
+    }
+
+    fn smooth(&mut self, now: Nanos) {
+        self.smoothed = (now, self.smoothed_at(now));
         let more = now.saturating_sub(self.used.0) as f64 * self.running.len() as f64;
         self.used = (now, self.used.1 + more);
     }
 
     /// Its utilisation as it truly is, smoothed over the last moments.
     pub fn utilisation(&self, now: Nanos) -> f64 {
-        let past = now.saturating_sub(self.smoothed.0) as f64;
-        let figure = self.smoothed.1 + (self.busy() - self.smoothed.1) * (1.0 - (-past / SMOOTHING).exp());
-        (figure + self.neighbour).min(1.0)
+        (self.smoothed_at(now) + self.neighbour).min(1.0)
     }
 
     /// Nanoseconds that new work of this size would take, waiting included, as far as the server itself could know.
--- a/lab/src/world.rs
+++ b/lab/src/world.rs
@@ -449,7 +449,8 @@
         Self { kind, from, to, servers, nodes, zone: 0, tenant: None, part: 0.5, times: 2.0, ms: 20.0 }
     }
 
-    pub(crate) fn span(&self) -> (Nanos, Nanos) {
+    /// From when until when, from the world's start.
+    pub fn span(&self) -> (Nanos, Nanos) {
         (seconds(self.from), seconds(self.to))
     }
 }
--- a/rig/src/servers.rs
+++ b/rig/src/servers.rs
@@ -152,7 +152,6 @@
     answer.expect("a sound answer")
 }
 
-#[derive(Clone, Copy, PartialEq)]
 enum Given {
     Request { informed: bool },
     Probe,
@@ -183,10 +182,7 @@
         Given::Request { informed } => {
             stage.servers[server].borrow_mut().take(Job { id, work }, informed, now)
         }
-        Given::Probe => {
-            let group = &mut stage.servers[server].borrow_mut();
-            group.probe(id, now)
-        }
+        Given::Probe => stage.servers[server].borrow_mut().probe(id, now),
     };
     match taken {
         Taken::Full => return None,
--- a/rig/src/troubles.rs
+++ b/rig/src/troubles.rs
@@ -10,10 +10,10 @@
 use crate::{Command, discovery, nodes};
 
 pub(crate) async fn run(stage: Rc<Stage>, command: Command) {
-    let of = |seconds: f64| (seconds * 1e9) as Nanos;
     let mut steps: Vec<(Nanos, usize, bool)> = Vec::new();
     for (number, trouble) in stage.world.trouble.iter().enumerate() {
-        steps.extend([(of(trouble.from), number, true), (of(trouble.to), number, false)]);
+        let (from, to) = trouble.span();
+        steps.extend([(from, number, true), (to, number, false)]);
     }
     steps.sort_by_key(|step| step.0);
     for (at, number, begins) in steps {
