The operators' configuration: every mistake at once, every value with its origin

A fleet could only be written as one JSON file for each node, by hand, and the first mistake in it was all that was told.

config/ reads deploy/ivyhatch.toml: typed, versioned, defaults, includes, overrides by the environment.

--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -2,6 +2,7 @@
 //! `ivyhatch`: the command line. Exit codes: 0 all well, 1 a rule was broken or a play failed, 2 wrong use, 3 a file that can't
 //! be used, 130 stopped by Ctrl-C.
 
+mod config;
 mod experiment;
 mod hunt;
 mod lab;
@@ -26,15 +27,19 @@
     Demo(sockets::Demo),
     /// Plays a model of the fleet, in virtual time or on sockets.
     Lab(lab::Lab),
-    /// Runs one node in the foreground, as the configuration says that `EDGE_CONFIG` names.
-    Node,
+    /// Runs one node in the foreground, as the configuration says that `EDGE_CONFIG` names, or as an instance of the operators'.
+    Node(config::Node),
+    /// Checks and shows the operators' configuration.
+    #[command(subcommand)]
+    Config(config::Config),
 }
 
 fn main() -> ExitCode {
     match Cli::parse().command {
         Command::Demo(demo) => sockets::demo(&demo),
         Command::Lab(lab) => lab::run(lab),
-        Command::Node => badgerpost::run(),
+        Command::Node(node) => config::node(node),
+        Command::Config(command) => config::run(&command),
     }
 }
 
--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -51,15 +51,25 @@
     sockets: usize,
 }
 
+/// Where a node's configuration comes from, and how it logs.
+pub struct Start {
+    /// Gives the configuration, as `EDGE_CONFIG`'s file has it; called at the start and at each SIGHUP. The error is one line.
+    pub configuration: Configuration,
+    /// The least level that is written.
+    pub level: tracing::Level,
+    /// Whether lines are JSON objects.
+    pub json: bool,
+    /// Stands on every line; none for none.
+    pub instance: Option<String>,
+}
+
 /// Why the node can't start.
 #[derive(Debug, thiserror::Error)]
 enum StartError {
-    #[error("EDGE_CONFIG is not set")]
-    NoConfig,
-    #[error("configuration {path}: {source}")]
-    Unread { path: String, source: std::io::Error },
-    #[error("configuration {path}: {source}")]
-    Malformed { path: String, source: serde_json::Error },
+    #[error("{0}")]
+    Unread(String),
+    #[error("configuration: {0}")]
+    Malformed(#[from] serde_json::Error),
     #[error("configuration: seed {0:?} is not a hexadecimal number of 64 bits")]
     Seed(String),
     #[error("configuration: limits.sockets: {0} descriptors are too few")]
@@ -75,8 +85,26 @@
 /// Runs a node in the foreground, as its configuration says that `EDGE_CONFIG` names, until SIGTERM or SIGINT. Called once,
 /// from the program's first thread.
 pub fn run() -> ExitCode {
-    tracing_subscriber::fmt().with_writer(std::io::stderr).with_ansi(false).init();
-    match start() {
+    run_as(Start {
+        configuration: Box::new(from_environment),
+        level: tracing::Level::INFO,
+        json: false,
+        instance: None,
+    })
+}
+
+/// Runs a node in the foreground until SIGTERM or SIGINT. Called once, from the program's first thread.
+pub fn run_as(start: Start) -> ExitCode {
+    let log = tracing_subscriber::fmt().with_max_level(start.level).with_writer(std::io::stderr);
+    match start.json {
+        true => log.json().init(),
+        false => log.with_ansi(false).init(),
+    }
+    // All of the node runs in this thread, so that the span is around all that it says.
+    let span = start.instance.as_ref().map(|instance| tracing::error_span!("node", instance).entered());
+    let ended = serve_all(start.configuration);
+    drop(span);
+    match ended {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("badgerpost: {error}");
@@ -85,22 +113,25 @@
     }
 }
 
-fn start() -> Result<(), StartError> {
-    let config = read_config()?;
+/// Gives a configuration's text.
+pub type Configuration = Box<dyn Fn() -> Result<Vec<u8>, String>>;
+
+fn serve_all(configuration: Configuration) -> Result<(), StartError> {
+    let config = parse(configuration())?;
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-    LocalSet::new().block_on(&runtime, serve(config))
+    LocalSet::new().block_on(&runtime, serve(config, configuration))
+}
+
+fn from_environment() -> Result<Vec<u8>, String> {
+    let path = std::env::var("EDGE_CONFIG").map_err(|_| "EDGE_CONFIG is not set".to_owned())?;
+    std::fs::read(&path).map_err(|error| format!("configuration {path}: {error}"))
 }
 
-fn read_config() -> Result<Config, StartError> {
-    let path = std::env::var("EDGE_CONFIG").map_err(|_| StartError::NoConfig)?;
-    let text = match std::fs::read(&path) {
-        Ok(text) => text,
-        Err(source) => return Err(StartError::Unread { path, source }),
-    };
-    serde_json::from_slice(&text).map_err(|source| StartError::Malformed { path, source })
+fn parse(text: Result<Vec<u8>, String>) -> Result<Config, StartError> {
+    Ok(serde_json::from_slice(&text.map_err(StartError::Unread)?)?)
 }
 
-async fn serve(config: Config) -> Result<(), StartError> {
+async fn serve(config: Config, configuration: Configuration) -> Result<(), StartError> {
     // Heeded before anything else: unheeded, it would end the program.
     let hangup = signal(SignalKind::hangup())?;
     let site = brookfield_settings::read(&config.settings).map_err(StartError::Settings)?;
@@ -126,7 +157,7 @@
     tracing::info!("{} serves at {}", config.name, listener.local_addr()?);
     let (address, told) = tokio::sync::watch::channel(config.discovery);
     spawn_local(watch.run(told));
-    spawn_local(heed_reloads(hangup, address));
+    spawn_local(heed_reloads(hangup, address, configuration));
     let timers = node.clone();
     spawn_local(async move { timers.run_timers().await });
     let (phase, phases) = watch::channel(Phase::Serving);
@@ -147,9 +178,9 @@
 
 /// Reads the configuration anew at each SIGHUP. Discovery's address is taken from it at once; all else counts
 /// from the next start. With a file that can't be used everything stays as it is.
-async fn heed_reloads(mut hangup: Signal, address: watch::Sender<SocketAddr>) {
+async fn heed_reloads(mut hangup: Signal, address: watch::Sender<SocketAddr>, configuration: Configuration) {
     while hangup.recv().await.is_some() {
-        match reread() {
+        match reread(&configuration) {
             Ok(discovery) => {
                 tracing::info!("configuration read anew; discovery is at {discovery}");
                 address.send_if_modified(|at| std::mem::replace(at, discovery) != discovery);
@@ -159,8 +190,8 @@
     }
 }
 
-fn reread() -> Result<SocketAddr, StartError> {
-    let config = read_config()?;
+fn reread(configuration: &Configuration) -> Result<SocketAddr, StartError> {
+    let config = parse(configuration())?;
     brookfield_settings::read(&config.settings).map_err(StartError::Settings)?;
     Ok(config.discovery)
 }
