An instance's life as a state machine, and a durable record of what was asked

agent/src/instance.rs: stopped, starting, ready, draining, stopping, backing off, crashed, unresponsive, sans-I/O. Waits double and are jittered, a crash loop trips, a start that never gets ready is ended, drains can be taken back, an agent that died adopts what it finds. agent/src/store.rs: each command is one redb transaction with its outcome and a line of the audit; an id given twice is done once; a command names the revision that it was made against, and of two in conflict one is refused with the other's name.

--- /dev/null
+++ b/agent/src/lib.rs
@@ -0,0 +1,14 @@
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
+//! What an agent decides of the instances that it keeps, and what it was asked, kept so that no crash loses it.
+//!
+//! | file | concern |
+//! | --- | --- |
+//! | `instance` | one instance's life: a state machine without clocks, processes or sockets of its own |
+//! | `store` | desired state, commands and their outcomes, the audit: durable |
+
+mod instance;
+mod store;
+
+pub use instance::{Action, Event, Instance, Nanos, Patience, Phase, Wanted};
+pub use store::{Change, Command, Desired, Entry, Outcome, Refusal, Store, StoreError, Written};
