A control socket in each node: what it sees, and a drain that can be taken back

A node could only be told to end, and showed nothing but its log.

The module gained a view of its backends and no decision.

--- a/cli/src/config.rs
+++ b/cli/src/config.rs
@@ -46,6 +46,9 @@
 
 #[derive(Args)]
 pub struct Node {
+    /// Where its control socket listens; without it there is none.
+    #[arg(long, requires = "config")]
+    control: Option<PathBuf>,
     /// The operators' file; without it, `EDGE_CONFIG` names the platform's.
     #[arg(long, requires = "instance")]
     config: Option<PathBuf>,
@@ -161,5 +164,6 @@
         level: log.level.parse().expect("checked"),
         json: log.format == "json",
         instance,
+        control: node.control,
     })
 }
--- /dev/null
+++ b/cli/tests/common/mod.rs
@@ -0,0 +1,28 @@
+//! A small fleet's file, and processes that do not outlive their test.
+
+use ivyhatch_rig::scripted::Backend;
+use serde_json::{Value, json};
+
+/// A process that ends with the test, whatever becomes of that.
+pub struct Ends(pub std::process::Child);
+
+impl Drop for Ends {
+    fn drop(&mut self) {
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+}
+
+/// A file with one instance, `a-1`.
+pub fn fleet(discovery: &str) -> String {
+    format!(
+        "version = 1\n[log]\nformat = \"json\"\n[fleet]\nzones = [\"a\"]\ndiscovery = \"{discovery}\"\n[[class]]\nname = \"find\"\n\
+         effect = \"repeatable\"\naim_ms = 800\ndeadline_ms = 3000\n[[instance]]\nname = \"a-1\"\nzone = \"a\"\n"
+    )
+}
+
+/// A server as the list has it.
+pub fn listed(uid: &str, backend: &Backend, zone: &str) -> Value {
+    json!({"uid": uid, "endpoint": backend.at.to_string(), "az": zone, "model": "k", "pod_group": 0, "state": "Ready",
+        "capacity_hint": 1.0, "boot_ms": 0})
+}
--- a/cli/tests/config.rs
+++ b/cli/tests/config.rs
@@ -1,9 +1,12 @@
 //! `ivyhatch config` and a node that runs from the operators' file.
 
+mod common;
+
 use std::io::{BufRead, BufReader};
 use std::path::Path;
 use std::process::{Command, Output, Stdio};
 
+use common::{Ends, fleet, listed};
 use ivyhatch_rig::scripted::{Backend, Client, Discovery, Does, ok};
 use serde_json::{Value, json};
 
@@ -11,13 +14,6 @@
     Command::new(env!("CARGO_BIN_EXE_ivyhatch")).args(arguments).output().expect("it starts")
 }
 
-fn fleet(discovery: &str) -> String {
-    format!(
-        "version = 1\n[log]\nformat = \"json\"\n[fleet]\nzones = [\"a\"]\ndiscovery = \"{discovery}\"\n[[class]]\nname = \"find\"\n\
-         effect = \"repeatable\"\naim_ms = 800\ndeadline_ms = 3000\n[[instance]]\nname = \"a-1\"\nzone = \"a\"\n"
-    )
-}
-
 #[test]
 fn mistakes_are_told_on_both_ways_and_by_the_exit_code() {
     let file = tempfile::NamedTempFile::new().unwrap();
@@ -53,22 +49,10 @@
     }
 }
 
-/// A process that ends with the test, whatever becomes of that.
-struct Ends(std::process::Child);
-
-impl Drop for Ends {
-    fn drop(&mut self) {
-        let _ = self.0.kill();
-        let _ = self.0.wait();
-    }
-}
-
 #[test]
 fn a_node_runs_from_the_file_and_keeps_what_it_had_when_the_file_turns_bad() {
     let backend = Backend::new(|_| Does::Writes(ok("served")));
-    let discovery =
-        Discovery::new(json!([{"uid": "s-0", "endpoint": backend.at.to_string(), "az": "a", "model": "k",
-        "pod_group": 0, "state": "Ready", "capacity_hint": 1.0, "boot_ms": 0}]));
+    let discovery = Discovery::new(json!([listed("s-0", &backend, "a")]));
     let file = tempfile::NamedTempFile::new().unwrap();
     std::fs::write(file.path(), fleet(&discovery.at.to_string())).unwrap();
     let wrong = ivyhatch(&["node", "--config", file.path().to_str().unwrap(), "--instance", "b-1"]);
--- a/node/src/driver.rs
+++ b/node/src/driver.rs
@@ -9,8 +9,8 @@
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use brookfield::{
-    Action, Arrival, BackendId, Balancer, ClassId, Discovery, Effect, Event, ListScope, Member, Nanos,
-    Outcome, Report, RequestId, Settings, SettingsError, Settlement, Stage,
+    Action, Arrival, BackendFigures, BackendId, Balancer, ClassId, Discovery, Effect, Event, ListScope,
+    Member, Nanos, Outcome, Report, RequestId, Settings, SettingsError, Settlement, Stage,
 };
 use brookfield_settings::Words;
 use bytes::Bytes;
@@ -276,6 +276,20 @@
     rearm: bool,
 }
 
+/// A backend as it is shown.
+pub struct Seen {
+    /// Its name in the list.
+    pub uid: String,
+    /// Its zone's name.
+    pub zone: String,
+    /// Where it is reached.
+    pub endpoint: SocketAddr,
+    /// It has been said to leave.
+    pub draining: bool,
+    /// What the module knows of it.
+    pub figures: BackendFigures,
+}
+
 /// A handle on the driver. Cheap to clone.
 #[derive(Clone)]
 pub struct Node {
@@ -318,6 +332,24 @@
         Ok(node)
     }
 
+    /// What there is, for people: open requests, and each backend with its name, zone, address and figures.
+    pub fn figures(&self) -> (usize, Vec<Seen>) {
+        let driver = self.driver.borrow();
+        let names: HashMap<BackendId, &String> = driver.ids.iter().map(|(name, id)| (*id, name)).collect();
+        let seen = |figures: BackendFigures| {
+            let known = driver.backends.get(&figures.backend)?;
+            Some(Seen {
+                uid: names.get(&figures.backend)?.to_string(),
+                zone: driver.words.zone_name(figures.zone).unwrap_or("?").to_owned(),
+                endpoint: known.endpoint,
+                draining: known.draining_since.is_some(),
+                figures,
+            })
+        };
+        let figures = driver.balancer.backend_figures(self.clock.now());
+        (driver.balancer.open_requests(), figures.into_iter().filter_map(seen).collect())
+    }
+
     /// The node's clock.
     pub fn clock(&self) -> Clock {
         self.clock
--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -3,6 +3,7 @@
 //! badgerpost, a load-balancing node: the decisions of `brookfield` on real sockets. This file reads the
 //! configuration, starts the parts, heeds signals and ends the program.
 
+mod control;
 mod discovery;
 mod driver;
 mod prober;
@@ -12,7 +13,9 @@
 mod tap;
 mod upstream;
 
+use std::cell::Cell;
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::process::ExitCode;
 use std::rc::Rc;
 use std::time::Duration;
@@ -61,6 +64,8 @@
     pub json: bool,
     /// Stands on every line; none for none.
     pub instance: Option<String>,
+    /// Where the control socket listens; none for none.
+    pub control: Option<PathBuf>,
 }
 
 /// Why the node can't start.
@@ -78,6 +83,8 @@
     Settings(String),
     #[error("can't listen at {at}: {source}")]
     Listen { at: SocketAddr, source: std::io::Error },
+    #[error("can't control at {at}: {source}")]
+    Control { at: PathBuf, source: std::io::Error },
     #[error("can't start: {0}")]
     System(#[from] std::io::Error),
 }
@@ -90,6 +97,7 @@
         level: tracing::Level::INFO,
         json: false,
         instance: None,
+        control: None,
     })
 }
 
@@ -102,7 +110,7 @@
     }
     // All of the node runs in this thread, so that the span is around all that it says.
     let span = start.instance.as_ref().map(|instance| tracing::error_span!("node", instance).entered());
-    let ended = serve_all(start.configuration);
+    let ended = serve_all(start.configuration, start.control);
     drop(span);
     match ended {
         Ok(()) => ExitCode::SUCCESS,
@@ -116,10 +124,10 @@
 /// Gives a configuration's text.
 pub type Configuration = Box<dyn Fn() -> Result<Vec<u8>, String>>;
 
-fn serve_all(configuration: Configuration) -> Result<(), StartError> {
+fn serve_all(configuration: Configuration, control: Option<PathBuf>) -> Result<(), StartError> {
     let config = parse(configuration())?;
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-    LocalSet::new().block_on(&runtime, serve(config, configuration))
+    LocalSet::new().block_on(&runtime, serve(config, configuration, control))
 }
 
 fn from_environment() -> Result<Vec<u8>, String> {
@@ -131,7 +139,11 @@
     Ok(serde_json::from_slice(&text.map_err(StartError::Unread)?)?)
 }
 
-async fn serve(config: Config, configuration: Configuration) -> Result<(), StartError> {
+async fn serve(
+    config: Config,
+    configuration: Configuration,
+    control: Option<PathBuf>,
+) -> Result<(), StartError> {
     // Heeded before anything else: unheeded, it would end the program.
     let hangup = signal(SignalKind::hangup())?;
     let site = brookfield_settings::read(&config.settings).map_err(StartError::Settings)?;
@@ -154,16 +166,33 @@
     let mut interrupt = signal(SignalKind::interrupt())?;
     let listener =
         listen(config.listen).map_err(|source| StartError::Listen { at: config.listen, source })?;
-    tracing::info!("{} serves at {}", config.name, listener.local_addr()?);
+    let at = listener.local_addr()?;
+    let (phase, phases) = watch::channel(Phase::Serving);
+    let control_at = control;
+    let control = Rc::new(control::Control {
+        name: config.name.clone(),
+        at,
+        node: node.clone(),
+        phase: phase.clone(),
+        ends: Cell::new(false),
+        still_takes: STILL_TAKES,
+        drains: Cell::new(0),
+        began: tokio::time::Instant::now(),
+    });
+    if let Some(at) = &control_at {
+        let told = |source| StartError::Control { at: at.clone(), source };
+        spawn_local(control::run(control::listen(at).await.map_err(told)?, control.clone()));
+    }
+    tracing::info!("{} serves at {at}", config.name);
     let (address, told) = tokio::sync::watch::channel(config.discovery);
     spawn_local(watch.run(told));
     spawn_local(heed_reloads(hangup, address, configuration));
     let timers = node.clone();
     spawn_local(async move { timers.run_timers().await });
-    let (phase, phases) = watch::channel(Phase::Serving);
     let deadline = node.longest_deadline();
     let served = spawn_local(server::run(listener, node.clone(), clients, phases));
     asked_to_stop(&mut terminate, &mut interrupt).await;
+    control.ends.set(true);
     tracing::info!("{} stops", config.name);
     phase.send_replace(Phase::Stopping);
     node.stop_probing();
@@ -173,6 +202,9 @@
     phase.send_replace(Phase::Closed);
     // Every request taken has had its answer by then; what is still open has nothing on it.
     let _ = timeout(deadline, served).await;
+    if let Some(at) = control_at {
+        let _ = std::fs::remove_file(at);
+    }
     Ok(())
 }
 
--- a/settings/src/lib.rs
+++ b/settings/src/lib.rs
@@ -28,6 +28,11 @@
         ZoneId(position(&mut self.zones, name))
     }
 
+    /// A zone's name; none for a number that no name has.
+    pub fn zone_name(&self, zone: ZoneId) -> Option<&str> {
+        self.zones.get(zone.0 as usize).map(String::as_str)
+    }
+
     /// A machine kind's number; a new name gets a new one.
     pub fn kind(&mut self, name: &str) -> u32 {
         position(&mut self.kinds, name)
--- a/src/api.rs
+++ b/src/api.rs
@@ -484,3 +484,22 @@
     /// A line for the operators' log.
     Log(String),
 }
+
+/// A backend as this node sees it, for people: nothing is decided by it outside the module.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct BackendFigures {
+    /// Which.
+    pub backend: BackendId,
+    /// Where it stands.
+    pub zone: ZoneId,
+    /// Own attempts out there.
+    pub in_flight: u32,
+    /// Its smoothed utilisation (1 for all cores in use), and the age of the last report in nanoseconds; none without one.
+    pub utilisation: Option<(f64, Nanos)>,
+    /// Times the expected time that its answers take; 1 for one like all others.
+    pub slowness: f64,
+    /// It failed too often, and gets nothing or a trial for now.
+    pub ejected: bool,
+    /// Share of its capacity that it surely has by now; 1 when warm.
+    pub warm: f64,
+}
--- a/src/policy/backends.rs
+++ b/src/policy/backends.rs
@@ -24,7 +24,7 @@
     }
 
     /// Slowness against the fleet's mean, forgotten towards what its ramp implies.
-    pub(super) fn slowness(&self, now: Nanos, rules: &RuleFigures) -> f64 {
+    pub(crate) fn slowness(&self, now: Nanos, rules: &RuleFigures) -> f64 {
         let prior = 1.0 / self.ramp(now, rules);
         let Some(at) = self.slow.at else { return prior };
         prior + (self.slow.value - prior) * decay(now.saturating_sub(at), SLOW_FORGET)
--- a/src/view.rs
+++ b/src/view.rs
@@ -185,3 +185,19 @@
         }
     }
 }
+
+impl Balancer {
+    /// The backends of the list as this node sees them now, by id.
+    pub fn backend_figures(&self, now: Nanos) -> Vec<BackendFigures> {
+        let figures = |(id, backend): (&BackendId, &Backend)| BackendFigures {
+            backend: *id,
+            zone: backend.member.zone,
+            in_flight: backend.in_flight,
+            utilisation: backend.util.at.map(|at| (backend.util.value, now.saturating_sub(at))),
+            slowness: backend.slowness(now, &self.settings.rules),
+            ejected: backend.health != Health::Healthy,
+            warm: backend.ramp(now, &self.settings.rules),
+        };
+        self.backends.iter().map(figures).collect()
+    }
+}
