The agent: keeps a machine's nodes as they are wanted, and answers for each instance

`ivyhatch agent` runs each instance of the configuration in a group of its own, hears it through its control socket, waits for its end, and does what the state machine says. A process is known by its number and start; an agent killed outright is followed by one that finds its nodes, by what was written down or by who answers at their sockets, and starts only what is missing. `ivyhatch status | start | stop | drain | undrain | restart` select by name, zone and label, ask all agents at once and give one result for each instance (done, refused, failed, timed out, unknown) and an exit code; more than half of a zone is not taken away unasked.

--- a/cli/src/config.rs
+++ b/cli/src/config.rs
@@ -9,7 +9,7 @@
 
 use crate::unusable;
 
-const DEFAULT_FILE: &str = "deploy/ivyhatch.toml";
+pub const DEFAULT_FILE: &str = "deploy/ivyhatch.toml";
 
 #[derive(Subcommand)]
 pub enum Config {
@@ -57,7 +57,7 @@
     instance: Option<String>,
 }
 
-fn read(file: &Path) -> Result<Read, Vec<Mistake>> {
+pub fn read(file: &Path) -> Result<Read, Vec<Mistake>> {
     // A variable that is no text can't be one of ours.
     let variables = std::env::vars_os()
         .filter_map(|(name, value)| Some((name.into_string().ok()?, value.into_string().ok()?)));
@@ -101,7 +101,7 @@
     }
 }
 
-fn tell(mistakes: &[Mistake], as_json: bool) -> ExitCode {
+pub fn tell(mistakes: &[Mistake], as_json: bool) -> ExitCode {
     for mistake in mistakes {
         match as_json {
             true => println!("{}", json!(mistake)),
--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -4,6 +4,7 @@
 
 mod config;
 mod experiment;
+mod fleet;
 mod hunt;
 mod lab;
 mod sockets;
@@ -29,6 +30,20 @@
     Lab(lab::Lab),
     /// Runs one node in the foreground, as the configuration says that `EDGE_CONFIG` names, or as an instance of the operators'.
     Node(config::Node),
+    /// Keeps the instances of the operators' configuration on this machine.
+    Agent(fleet::Agent),
+    /// Shows instances: where each stands, why, and since when.
+    Status(fleet::Show),
+    /// Has instances run.
+    Start(fleet::Change),
+    /// Drains instances and ends them.
+    Stop(fleet::Change),
+    /// Has instances take nothing new, and stay.
+    Drain(fleet::Change),
+    /// Has drained instances take again.
+    Undrain(fleet::Change),
+    /// Drains instances and starts them anew, also those that crashed too often.
+    Restart(fleet::Change),
     /// Checks and shows the operators' configuration.
     #[command(subcommand)]
     Config(config::Config),
@@ -39,6 +54,13 @@
         Command::Demo(demo) => sockets::demo(&demo),
         Command::Lab(lab) => lab::run(lab),
         Command::Node(node) => config::node(node),
+        Command::Agent(agent) => fleet::agent(&agent),
+        Command::Status(show) => fleet::status(&show),
+        Command::Start(change) => fleet::change(fleet::Verb::Start, &change),
+        Command::Stop(change) => fleet::change(fleet::Verb::Stop, &change),
+        Command::Drain(change) => fleet::change(fleet::Verb::Drain, &change),
+        Command::Undrain(change) => fleet::change(fleet::Verb::Undrain, &change),
+        Command::Restart(change) => fleet::change(fleet::Verb::Restart, &change),
         Command::Config(command) => config::run(&command),
     }
 }
--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -101,13 +101,18 @@
     })
 }
 
-/// Runs a node in the foreground until SIGTERM or SIGINT. Called once, from the program's first thread.
-pub fn run_as(start: Start) -> ExitCode {
-    let log = tracing_subscriber::fmt().with_max_level(start.level).with_writer(std::io::stderr);
-    match start.json {
+/// Sends this process's log to standard error, as text or as JSON objects. Called once.
+pub fn log(level: tracing::Level, json: bool) {
+    let log = tracing_subscriber::fmt().with_max_level(level).with_writer(std::io::stderr);
+    match json {
         true => log.json().init(),
         false => log.with_ansi(false).init(),
     }
+}
+
+/// Runs a node in the foreground until SIGTERM or SIGINT. Called once, from the program's first thread.
+pub fn run_as(start: Start) -> ExitCode {
+    log(start.level, start.json);
     // All of the node runs in this thread, so that the span is around all that it says.
     let span = start.instance.as_ref().map(|instance| tracing::error_span!("node", instance).entered());
     let ended = serve_all(start.configuration, start.control);
