--- a/agent/src/instance.rs
+++ b/agent/src/instance.rs
@@ -127,6 +127,8 @@
     /// Whether the process drains, by its own word.
     draining: bool,
     drained: bool,
+    /// When one that drains before it ends is told to end.
+    drain_by: Nanos,
     /// Last time that it said something.
     heard: Nanos,
     /// When something is due by itself.
@@ -153,6 +155,7 @@
             process: false,
             draining: false,
             drained: false,
+            drain_by: now,
             heard: now,
             wake: (wanted != Wanted::Stopped).then_some(now),
             ended_for: None,
@@ -293,7 +296,10 @@
         match (ready, draining) {
             (false, _) => self.enter(Phase::Starting, "found while it starts", Some(self.patience.ready)),
             (true, false) => self.enter(Phase::Ready, "found in service", Some(self.patience.silent)),
-            (true, true) => self.enter(Phase::Draining, "found while it drains", Some(self.patience.drain)),
+            (true, true) => {
+                self.drain_by = self.now.saturating_add(self.patience.drain);
+                self.enter(Phase::Draining, "found while it drains", Some(self.patience.silent));
+            }
         }
         let wanted = self.wanted;
         self.wants(wanted, actions);
@@ -322,9 +328,8 @@
             self.drained = false;
             actions.push(Action::Drain);
         }
-        let leaves = self.restarts || self.wanted == Wanted::Stopped;
-        let patience = if leaves { self.patience.drain } else { self.patience.silent };
-        self.enter(Phase::Draining, why, Some(patience));
+        self.drain_by = self.now.saturating_add(self.patience.drain);
+        self.enter(Phase::Draining, why, Some(self.patience.silent.min(self.patience.drain)));
     }
 
     /// One that drains goes on so, or is told to end where nothing is open any more and it is not wanted.
@@ -332,7 +337,10 @@
         let leaves = self.restarts || self.wanted == Wanted::Stopped;
         match (leaves, self.drained) {
             (true, true) => self.terminate("drained", actions),
-            (true, false) => self.wake = Some(self.now.saturating_add(self.patience.drain)),
+            (true, false) => {
+                self.drain_by = self.now.saturating_add(self.patience.drain);
+                self.wake = Some(self.drain_by.min(self.heard.saturating_add(self.patience.silent)));
+            }
             (false, true) => self.enter(Phase::Draining, "drained", Some(self.patience.silent)),
             (false, false) => {}
         }
@@ -369,8 +377,16 @@
                 let why = format!("did not end within {} ms", ms(self.patience.stop));
                 self.kill(why, actions);
             }
+            // One that hangs has nothing that it could finish.
             Phase::Draining if self.restarts || self.wanted == Wanted::Stopped => {
-                self.terminate("the time to drain is up", actions);
+                let silent_at = self.heard.saturating_add(self.patience.silent);
+                if self.now >= self.drain_by {
+                    self.terminate("the time to drain is up", actions);
+                } else if self.now >= silent_at {
+                    self.terminate("said nothing while it drained", actions);
+                } else {
+                    self.wake = Some(self.drain_by.min(silent_at));
+                }
             }
             Phase::Ready | Phase::Draining => {
                 let quiet = self.now.saturating_sub(self.heard);
--- a/agent/tests/instance.rs
+++ b/agent/tests/instance.rs
@@ -136,7 +136,12 @@
     stand.process.as_mut().unwrap().hung = true;
     stand.give(Event::Wants(Wanted::Stopped));
     assert_eq!(stand.phase(), Phase::Draining);
-    stand.pass(4999);
+    // It answers, and something stays open on it.
+    for _ in 0..49 {
+        stand.pass(100);
+        stand.give(Event::Said { draining: true });
+    }
+    stand.pass(99);
     assert_eq!(stand.phase(), Phase::Draining);
     stand.pass(1);
     assert_eq!(stand.phase(), Phase::Stopping, "the time to drain is up");
@@ -148,6 +153,21 @@
     assert_eq!((stand.phase(), stand.instance.reason()), (Phase::Stopped, "did not end within 800 ms"));
 }
 
+/// A hung process has nothing to finish: its restart does not wait for the time to drain.
+#[test]
+fn one_that_hangs_while_it_drains_is_not_waited_for() {
+    let mut stand = Stand::new(Wanted::Running);
+    stand.settle();
+    stand.process.as_mut().unwrap().hung = true;
+    stand.give(Event::Restarts);
+    stand.pass(300);
+    assert_eq!((stand.phase(), stand.instance.reason()), (Phase::Stopping, "said nothing while it drained"));
+    stand.pass(800);
+    stand.step();
+    stand.settle();
+    assert_eq!((stand.phase(), stand.starts.len()), (Phase::Ready, 2));
+}
+
 #[test]
 fn one_that_falls_silent_is_unresponsive_and_comes_back_or_is_replaced() {
     let mut stand = Stand::new(Wanted::Running);
--- a/cli/src/fleet.rs
+++ b/cli/src/fleet.rs
@@ -282,10 +282,11 @@
             Err(why) => ends.push((format!("agent {}", socket.display()), End::Unknown(why))),
             Ok(status) => {
                 for shown in status.instances {
-                    let zone: &mut (u32, u32) = zones.entry(shown.zone.clone()).or_default();
-                    zone.0 += 1;
+                    let zone: &mut (u32, u32, u32) = zones.entry(shown.zone.clone()).or_default();
+                    let serves = u32::from(shown.phase == Phase::Ready);
+                    *zone = (zone.0 + 1, zone.1 + serves, zone.2);
                     if selects(&change.selectors, &shown) {
-                        zone.1 += u32::from(shown.phase == Phase::Ready);
+                        zone.2 += serves;
                         meant.push((socket.clone(), status.revision, shown));
                     }
                 }
@@ -298,8 +299,10 @@
     }
     let taken: Vec<String> = zones
         .iter()
-        .filter(|(_, (all, taken))| verb.takes_away() && 2 * taken > *all)
-        .map(|(zone, (all, taken))| format!("{taken} of {all} of zone {zone}"))
+        .filter(|(_, (all, serving, taken))| verb.takes_away() && *taken > 0 && 2 * (serving - taken) < *all)
+        .map(|(zone, (all, serving, taken))| {
+            format!("{taken} of zone {zone}, of whose {all} {} would serve", serving - taken)
+        })
         .collect();
     if change.dry_run {
         for (_, _, shown) in &meant {
--- a/cli/tests/fleet.rs
+++ b/cli/tests/fleet.rs
@@ -155,7 +155,9 @@
     let site = Site::new(&FOUR);
     until("all are ready", || site.all_ready());
     let dry = site.run(&["drain", "all", "--dry-run"]);
-    assert!(String::from_utf8_lossy(&dry.stdout).contains("takes away 2 of 2 of zone a"));
+    assert!(
+        String::from_utf8_lossy(&dry.stdout).contains("takes away 2 of zone a, of whose 2 0 would serve")
+    );
     let refused = site.run(&["drain", "zone=a", "--json"]);
     assert_eq!((results(&refused), refused.status.code()), (each(&["a-1", "a-2"], "refused"), Some(4)));
     assert!(site.all_ready(), "nothing was done");
