A rollout that goes zone by zone and stops by itself when less is served, top and logs

To restart a fleet by hand, zone by zone, takes an afternoon's whole attention.

Nodes count their final answers for it, and new processes count from nothing. `ivyhatch top` shows the table again and again, `ivyhatch logs` the last lines of each instance's log by its agent.

Tests with real nodes and clients: a configuration that has turned bad stops it at the first instance; servers that fail from the first zone's restart on stop it before the second.

--- a/agent/src/agent.rs
+++ b/agent/src/agent.rs
@@ -21,7 +21,7 @@
 use tokio::time::{Instant as Clock, sleep, sleep_until, timeout};
 
 use crate::instance::{Action, Event, Instance, Nanos, Patience, Phase, Wanted};
-use crate::process::{Places, Process, cut_back};
+use crate::process::{Places, Process, cut_back, last_lines};
 use crate::store::{Change, Command as Asked, Outcome, Store, StoreError};
 use crate::wire::ask;
 
@@ -111,6 +111,7 @@
     Apply { id: String, by: String, against: u64, changes: Vec<Change> },
     Restart { instance: String, by: String },
     Audit { from: u64 },
+    Logs { instance: String, lines: usize },
 }
 
 struct Kept {
@@ -362,6 +363,7 @@
             Ask::Status {} => self.status().map(|status| json!(status)),
             Ask::Apply { id, by, against, changes } => self.apply(id, by, against, changes),
             Ask::Restart { instance, by } => Ok(self.restart(&instance, &by)),
+            Ask::Logs { instance, lines } => Ok(self.logs(&instance, lines)),
             Ask::Audit { from } => self.store.audit(from).map(|lines| json!({ "audit": lines })),
         };
         answer.unwrap_or_else(|error| json!({"error": error.to_string()}))
@@ -401,6 +403,13 @@
         json!({"done": {"starts": kept.starts.get(), "pid": kept.pid.get()}})
     }
 
+    fn logs(&self, instance: &str, lines: usize) -> Value {
+        let Some(kept) = self.kept.get(instance) else {
+            return json!({"error": format!("there is no instance {instance:?} here")});
+        };
+        json!({"lines": last_lines(&kept.places.log, lines.min(10_000))})
+    }
+
     fn status(&self) -> Result<Status, StoreError> {
         let now = self.now();
         let shown = |kept: &Rc<Kept>| {
--- a/agent/src/process.rs
+++ b/agent/src/process.rs
@@ -2,7 +2,7 @@
 //! it outlives the agent and what it forks ends with it.
 
 use std::fs::{File, OpenOptions};
-use std::io::{Result, Write};
+use std::io::{Read, Result, Seek, SeekFrom, Write};
 use std::path::{Path, PathBuf};
 use std::process::Stdio;
 
@@ -150,3 +150,19 @@
         }
     }
 }
+
+/// The last lines of a log, as far as its last megabyte goes.
+pub(crate) fn last_lines(log: &Path, count: usize) -> Vec<String> {
+    let tail = || -> Result<Vec<u8>> {
+        let mut file = File::open(log)?;
+        let length = file.metadata()?.len();
+        file.seek(SeekFrom::Start(length.saturating_sub(1 << 20)))?;
+        let mut tail = Vec::new();
+        file.take(1 << 20).read_to_end(&mut tail)?;
+        Ok(tail)
+    };
+    let tail = tail().unwrap_or_default();
+    let text = String::from_utf8_lossy(&tail);
+    let lines: Vec<&str> = text.lines().collect();
+    lines[lines.len().saturating_sub(count)..].iter().map(|line| (*line).to_owned()).collect()
+}
--- a/cli/src/fleet.rs
+++ b/cli/src/fleet.rs
@@ -15,6 +15,7 @@
 use tokio::time::sleep;
 
 use crate::config::{self, DEFAULT_FILE};
+use crate::rollout::{self, Rollout};
 use crate::{bar, unusable};
 
 /// Some instance failed.
@@ -46,7 +47,7 @@
     config: PathBuf,
     /// One JSON object a line, in place of the table.
     #[arg(long)]
-    json: bool,
+    pub json: bool,
 }
 
 #[derive(Args)]
@@ -58,17 +59,38 @@
     agents: Agents,
 }
 
+#[derive(Args)]
+pub struct Top {
+    #[command(flatten)]
+    show: Show,
+    /// Seconds between two tables.
+    #[arg(long, default_value_t = 1.0)]
+    every: f64,
+    /// Ends after so many.
+    #[arg(long)]
+    times: Option<u64>,
+}
+
+#[derive(Args)]
+pub struct Logs {
+    #[command(flatten)]
+    show: Show,
+    /// So many of each instance's last lines.
+    #[arg(long, default_value_t = 20)]
+    lines: usize,
+}
+
 #[derive(Args)]
 pub struct Change {
     /// Which instances: `all`, a name with `*` in it, `zone=a`, `tier=front` for a label; with commas for all of several.
     #[arg(required = true)]
-    selectors: Vec<String>,
+    pub selectors: Vec<String>,
     /// Seconds by which each instance has to be as asked.
     #[arg(long, default_value_t = 30.0)]
     deadline: f64,
     /// Shows what would be done, and does nothing.
     #[arg(long)]
-    dry_run: bool,
+    pub dry_run: bool,
     /// Does not ask before more than half of a zone is taken away.
     #[arg(long)]
     yes: bool,
@@ -79,7 +101,7 @@
     #[arg(long)]
     by: Option<String>,
     #[command(flatten)]
-    agents: Agents,
+    pub agents: Agents,
 }
 
 /// What is asked of instances.
@@ -109,7 +131,7 @@
 /// What became of a command at one instance.
 #[derive(Clone, Debug, PartialEq, Serialize)]
 #[serde(tag = "result", content = "why", rename_all = "snake_case")]
-enum End {
+pub enum End {
     Done(String),
     Refused(String),
     Failed(String),
@@ -170,7 +192,7 @@
 }
 
 /// All agents at once: one that does not answer holds up none.
-async fn all_statuses(sockets: &[PathBuf]) -> Vec<(PathBuf, Result<Status, String>)> {
+pub async fn all_statuses(sockets: &[PathBuf]) -> Vec<(PathBuf, Result<Status, String>)> {
     let mut asked = JoinSet::new();
     for (number, socket) in sockets.iter().cloned().enumerate() {
         asked.spawn_local(async move {
@@ -184,7 +206,7 @@
 }
 
 /// Whether one of the selectors means this instance.
-fn selects(selectors: &[String], shown: &Shown) -> bool {
+pub fn selects(selectors: &[String], shown: &Shown) -> bool {
     let fits = |part: &str| match part.split_once('=') {
         Some(("zone", zone)) => glob(zone, &shown.zone),
         Some((label, word)) => shown.labels.get(label).is_some_and(|has| glob(word, has)),
@@ -207,6 +229,27 @@
     }
 }
 
+/// The table again and again, until Ctrl-C or so many times.
+pub fn top(top: &Top) -> ExitCode {
+    if !(top.every > 0.0 && top.every <= 3600.0) {
+        eprintln!("ivyhatch: --every {}: seconds above 0, an hour at most", top.every);
+        return ExitCode::from(2);
+    }
+    let mut shown = 0;
+    loop {
+        if std::io::stdout().is_terminal() {
+            // Home, and clear from there.
+            print!("\x1b[H\x1b[2J");
+        }
+        let code = status(&top.show);
+        shown += 1;
+        if top.times.is_some_and(|times| shown >= times) {
+            return code;
+        }
+        std::thread::sleep(Duration::from_secs_f64(top.every));
+    }
+}
+
 pub fn status(show: &Show) -> ExitCode {
     let sockets = match sockets(&show.agents) {
         Ok(sockets) => sockets,
@@ -245,6 +288,38 @@
     ExitCode::from(code)
 }
 
+/// The last lines of each instance's log, by its agent.
+pub fn logs(logs: &Logs) -> ExitCode {
+    let (show, lines) = (&logs.show, logs.lines);
+    let sockets = match sockets(&show.agents) {
+        Ok(sockets) => sockets,
+        Err(code) => return code,
+    };
+    block_on(async move {
+        let mut code = 0;
+        for (socket, status) in all_statuses(&sockets).await {
+            let Ok(status) = status else {
+                eprintln!("ivyhatch: agent {} does not answer", socket.display());
+                code = OPEN;
+                continue;
+            };
+            for shown in status.instances.iter().filter(|shown| selects(&show.selectors, shown)) {
+                let what = json!({"op": "logs", "instance": shown.name, "lines": lines});
+                match ask(&socket, &what, SAYS).await.map(|answer| answer["lines"].as_array().cloned()) {
+                    Ok(Some(lines)) => {
+                        lines.iter().filter_map(Value::as_str).for_each(|line| match show.agents.json {
+                            true => println!("{}", json!({"instance": shown.name, "line": line})),
+                            false => println!("{}: {line}", shown.name),
+                        })
+                    }
+                    _ => code = OPEN,
+                }
+            }
+        }
+        ExitCode::from(code)
+    })
+}
+
 fn line(shown: &Shown, as_json: bool) {
     if as_json {
         return println!("{}", json!(shown));
@@ -263,16 +338,27 @@
     );
 }
 
+pub fn rollout(rollout: &Rollout) -> ExitCode {
+    if !(rollout.watch > 0.0 && rollout.watch <= 3600.0 && (0.0..=1.0).contains(&rollout.fall)) {
+        eprintln!("ivyhatch: --watch: seconds above 0, an hour at most; --fall: from 0 to 1");
+        return ExitCode::from(2);
+    }
+    with_sockets(&rollout.change, |sockets| block_on(rollout::rollout(rollout, sockets)))
+}
+
 pub fn change(verb: Verb, change: &Change) -> ExitCode {
+    with_sockets(change, |sockets| block_on(change_all(verb, change, sockets)))
+}
+
+fn with_sockets(change: &Change, what: impl FnOnce(Vec<PathBuf>) -> ExitCode) -> ExitCode {
     if !(change.deadline > 0.0 && change.deadline <= 86_400.0) {
         eprintln!("ivyhatch: --deadline {}: seconds above 0, a day at most", change.deadline);
         return ExitCode::from(2);
     }
-    let sockets = match sockets(&change.agents) {
-        Ok(sockets) => sockets,
-        Err(code) => return code,
-    };
-    block_on(change_all(verb, change, sockets))
+    match sockets(&change.agents) {
+        Ok(sockets) => what(sockets),
+        Err(code) => code,
+    }
 }
 
 async fn change_all(verb: Verb, change: &Change, sockets: Vec<PathBuf>) -> ExitCode {
@@ -317,17 +403,14 @@
         }));
         return finish(ends, change.agents.json);
     }
-    let since = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |now| now.as_nanos());
-    let id = change.id.clone().unwrap_or_else(|| format!("{since:x}-{}", std::process::id()));
-    let by = change.by.clone().or_else(|| std::env::var("USER").ok()).unwrap_or_else(|| "unknown".into());
+    let prepared = prepare(change);
     let bar = bar(meant.len() as u64, change.agents.json, "{bar:40} {pos}/{len} {msg}");
-    let deadline = Duration::from_secs_f64(change.deadline);
     let mut running = JoinSet::new();
     for (socket, revision, shown) in meant {
-        let (id, by, bar) = (id.clone(), by.clone(), bar.clone());
+        let (prepared, bar) = (prepared.clone(), bar.clone());
         running.spawn_local(async move {
             let name = shown.name.clone();
-            let end = one(verb, &socket, revision, &shown, &id, &by, deadline).await;
+            let end = one(verb, &socket, revision, &shown, &prepared).await;
             bar.inc(1);
             (name, end)
         });
@@ -337,6 +420,21 @@
     finish(ends, change.agents.json)
 }
 
+/// What all instances of a command have in common.
+#[derive(Clone)]
+pub struct Prepared {
+    id: String,
+    by: String,
+    within: Duration,
+}
+
+pub fn prepare(change: &Change) -> Prepared {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |now| now.as_nanos());
+    let id = change.id.clone().unwrap_or_else(|| format!("{since:x}-{}", std::process::id()));
+    let by = change.by.clone().or_else(|| std::env::var("USER").ok()).unwrap_or_else(|| "unknown".into());
+    Prepared { id, by, within: Duration::from_secs_f64(change.deadline) }
+}
+
 fn confirmed(taken: &[String]) -> bool {
     if !std::io::stdin().is_terminal() {
         return false;
@@ -347,15 +445,8 @@
 }
 
 /// Gives the command for one instance and waits until it is as asked.
-async fn one(
-    verb: Verb,
-    socket: &Path,
-    against: u64,
-    shown: &Shown,
-    id: &str,
-    by: &str,
-    within: Duration,
-) -> End {
+pub async fn one(verb: Verb, socket: &Path, against: u64, shown: &Shown, prepared: &Prepared) -> End {
+    let Prepared { id, by, within } = prepared;
     let begun = Instant::now();
     let left = || within.saturating_sub(begun.elapsed());
     let name = &shown.name;
@@ -425,7 +516,7 @@
     }
 }
 
-fn finish(mut ends: Vec<(String, End)>, as_json: bool) -> ExitCode {
+pub fn finish(mut ends: Vec<(String, End)>, as_json: bool) -> ExitCode {
     ends.sort_by(|one, other| one.0.cmp(&other.0));
     let mut text = String::new();
     let mut code = 0;
--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -7,6 +7,7 @@
 mod fleet;
 mod hunt;
 mod lab;
+mod rollout;
 mod sockets;
 
 use std::io::IsTerminal;
@@ -44,6 +45,12 @@
     Undrain(fleet::Change),
     /// Drains instances and starts them anew, also those that crashed too often.
     Restart(fleet::Change),
+    /// Restarts instances zone by zone, and stops by itself when less is served than before.
+    Rollout(rollout::Rollout),
+    /// Shows instances again and again.
+    Top(fleet::Top),
+    /// Prints the last lines of instances' logs.
+    Logs(fleet::Logs),
     /// Checks and shows the operators' configuration.
     #[command(subcommand)]
     Config(config::Config),
@@ -61,6 +68,9 @@
         Command::Drain(change) => fleet::change(fleet::Verb::Drain, &change),
         Command::Undrain(change) => fleet::change(fleet::Verb::Undrain, &change),
         Command::Restart(change) => fleet::change(fleet::Verb::Restart, &change),
+        Command::Rollout(rollout) => fleet::rollout(&rollout),
+        Command::Top(top) => fleet::top(&top),
+        Command::Logs(logs) => fleet::logs(&logs),
         Command::Config(command) => config::run(&command),
     }
 }
--- a/cli/tests/common/mod.rs
+++ b/cli/tests/common/mod.rs
@@ -1,5 +1,7 @@
 //! A small fleet's file, and processes that do not outlive their test.
 
+#![allow(dead_code)]
+
 use ivyhatch_rig::scripted::Backend;
 use serde_json::{Value, json};
 
--- a/cli/tests/fleet.rs
+++ b/cli/tests/fleet.rs
@@ -1,14 +1,20 @@
 //! Agents with real nodes: what crashes, hangs or is killed is kept as it was wanted, and each command has one clear result
 //! for each instance.
 
+mod common;
+
 use std::collections::BTreeMap;
 use std::io::{Read, Write};
+use std::net::SocketAddr;
 use std::os::unix::net::UnixListener;
 use std::path::PathBuf;
 use std::process::{Child, Command, Output, Stdio};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 
-use ivyhatch_rig::scripted::until;
-use serde_json::Value;
+use common::listed;
+use ivyhatch_rig::scripted::{Backend, Client, Discovery, Does, ok, status, until};
+use serde_json::{Value, json};
 
 /// An agent with its nodes; all of them end with the test.
 struct Site {
@@ -18,9 +24,14 @@
 
 impl Site {
     fn new(instances: &[(&str, &str)]) -> Self {
+        Self::with(instances, "127.0.0.1:1")
+    }
+
+    /// One whose nodes are told of their servers at this address.
+    fn with(instances: &[(&str, &str)], discovery: &str) -> Self {
         let folder = tempfile::tempdir().unwrap();
         let mut text = format!(
-            "version = 1\n[fleet]\nzones = [\"a\", \"b\"]\ndiscovery = \"127.0.0.1:1\"\n[agent]\nstate = {:?}\nsilent_ms = 1500\n\
+            "version = 1\n[fleet]\nzones = [\"a\", \"b\"]\ndiscovery = {discovery:?}\n[agent]\nstate = {:?}\nsilent_ms = 1500\n\
              first_wait_ms = 20\ncrashes = 4\nready_ms = 15000\n[[class]]\nname = \"find\"\neffect = \"repeatable\"\naim_ms = 800\n\
              deadline_ms = 3000\n",
             folder.path().join("state")
@@ -231,3 +242,71 @@
     assert_eq!((found.len(), output.status.code()), (4, Some(5)));
     drop(hangs);
 }
+
+#[test]
+fn a_rollout_goes_zone_by_zone_and_stops_where_one_does_not_come_back() {
+    let site = Site::new(&FOUR);
+    until("all are ready", || site.all_ready());
+    let before = site.pids();
+    let whole = site.run(&["rollout", "all", "--watch", "0.2", "--json"]);
+    assert_eq!(results(&whole), each(&["a-1", "a-2", "b-1", "b-2"], "done"));
+    let after = site.pids();
+    assert!(before.iter().all(|(name, pid)| after[name] != *pid), "{before:?} {after:?}");
+    // A file that has turned bad: no node comes back from a restart, and the first one shows it.
+    let text = std::fs::read_to_string(site.file()).unwrap();
+    std::fs::write(site.file(), text.replace("aim_ms = 800", "aim_ms = 8000")).unwrap();
+    let mut command = Command::new(env!("CARGO_BIN_EXE_ivyhatch"));
+    command.args(["rollout", "all", "--watch", "0.2", "--json", "--agent"]).arg(site.socket());
+    let bad = command.stdin(Stdio::null()).output().unwrap();
+    let mut expected = each(&["a-1"], "failed");
+    expected.extend(each(&["a-2", "b-1", "b-2"], "refused"));
+    assert_eq!((results(&bad), bad.status.code()), (expected, Some(1)));
+    let logs = Command::new(env!("CARGO_BIN_EXE_ivyhatch"))
+        .args(["logs", "a-1", "--agent"])
+        .arg(site.socket())
+        .output();
+    let logs = String::from_utf8(logs.unwrap().stdout).unwrap();
+    assert!(logs.contains("aim_ms: 8000; wanted: deadline_ms, 3000, at most"), "{logs}");
+}
+
+/// Servers that fail from the first zone's restart on: the rollout sees it in what is served, and goes no further.
+#[test]
+fn a_rollout_stops_when_less_is_served_than_before() {
+    let fails = Arc::new(AtomicBool::new(false));
+    let failing = fails.clone();
+    let backend = Backend::new(move |_| match failing.load(Ordering::SeqCst) {
+        true => Does::Writes(status(500, "")),
+        false => Does::Writes(ok("served")),
+    });
+    let discovery = Discovery::new(json!([listed("s-0", &backend, "b")]));
+    let site = Site::with(&[("a-1", "a"), ("b-1", "b")], &discovery.at.to_string());
+    until("all are ready", || site.all_ready());
+    let at: SocketAddr = site.status()["b-1"]["said"][0]["listen"].as_str().unwrap().parse().unwrap();
+    let ended = Arc::new(AtomicBool::new(false));
+    let ends = ended.clone();
+    let asking = std::thread::spawn(move || {
+        for n in 0.. {
+            if ends.load(Ordering::SeqCst) {
+                return;
+            }
+            let text = format!(
+                "GET /api HTTP/1.1\r\nHost: h\r\nX-Call-Id: {n}\r\nX-Call-Class: find\r\nX-Budget-Ms: 900\r\n\r\n"
+            );
+            Client::to(at).ask(&text);
+            std::thread::sleep(std::time::Duration::from_millis(5));
+        }
+    });
+    let mut command = Command::new(env!("CARGO_BIN_EXE_ivyhatch"));
+    command.args(["rollout", "all", "--watch", "1.5", "--json", "--config"]).arg(site.file());
+    let rollout = command.stdin(Stdio::null()).stdout(Stdio::piped()).spawn().unwrap();
+    until("the first zone is restarted", || site.status()["a-1"]["starts"] == 2);
+    fails.store(true, Ordering::SeqCst);
+    let output = rollout.wait_with_output().unwrap();
+    ended.store(true, Ordering::SeqCst);
+    asking.join().unwrap();
+    let mut expected = each(&["a-1"], "done");
+    expected.extend(each(&["b-1"], "refused"));
+    assert_eq!((results(&output), output.status.code()), (expected, Some(4)));
+    let why = lines(&output)[1]["why"].as_str().unwrap().to_owned();
+    assert!(why.starts_with("stopped: after zone a ") && why.ends_with(" was served, 1.000 before"), "{why}");
+}
--- a/node/src/control.rs
+++ b/node/src/control.rs
@@ -166,6 +166,7 @@
     fn state(&self) -> Value {
         let (open, servers) = self.node.figures();
         let phase = *self.phase.borrow();
+        let [served, refused, failed] = self.node.answers();
         let word = match (self.ends.get(), phase) {
             (true, _) => "stopping",
             (false, Phase::Serving) => "serving",
@@ -175,6 +176,7 @@
         let drained = word == "draining" && phase == Phase::Closing && open == 0;
         json!({"name": self.name, "pid": std::process::id(), "version": env!("CARGO_PKG_VERSION"),
             "listen": self.at.to_string(), "phase": word, "drained": drained, "open": open,
+            "answers": {"served": served, "refused": refused, "failed": failed},
             "up_ms": self.began.elapsed().as_millis() as u64, "zones": zones(&servers)})
     }
 }
--- a/node/src/driver.rs
+++ b/node/src/driver.rs
@@ -256,6 +256,8 @@
     /// The probe out to each backend; one at most.
     probes: HashMap<BackendId, (u64, Flight)>,
     next_probe: u64,
+    /// Final answers so far: served, refused, failed.
+    answers: [u64; 3],
     /// The node stops: there are no more probes.
     quiet: bool,
     /// Set by the module's wish for the whole list.
@@ -323,6 +325,7 @@
             timers: BTreeSet::new(),
             probes: HashMap::new(),
             next_probe: 0,
+            answers: [0; 3],
             quiet: false,
             whole_list: false,
         };
@@ -332,6 +335,11 @@
         Ok(node)
     }
 
+    /// Final answers so far: served, refused, failed.
+    pub fn answers(&self) -> [u64; 3] {
+        self.driver.borrow().answers
+    }
+
     /// What there is, for people: open requests, and each backend with its name, zone, address and figures.
     pub fn figures(&self) -> (usize, Vec<Seen>) {
         let driver = self.driver.borrow();
@@ -679,6 +687,12 @@
     fn finish(&mut self, request: RequestId, reply: Reply) {
         let Some(open) = self.requests.get_mut(&request) else { return };
         if let Some(sender) = open.reply.take() {
+            let which = match reply {
+                Reply::Served(_) => 0,
+                Reply::Refused(_) => 1,
+                Reply::Failed => 2,
+            };
+            self.answers[which] += 1;
             // The client may have gone in this very moment.
             let _ = sender.send(reply);
         }
