Ask for one instance where one is waited for, and read a revision without all entries

Each waiting command had the whole status read out twenty times a second, and each status read and parsed everything that is wanted to tell one number: the cost of a command grew with the square of the instances. A status can be of one instance now, and the store gives its revision and one entry by themselves. What is answered is the same; not measured.

--- a/agent/src/agent.rs
+++ b/agent/src/agent.rs
@@ -107,11 +107,27 @@
 #[derive(Deserialize)]
 #[serde(tag = "op", rename_all = "snake_case", deny_unknown_fields)]
 enum Ask {
-    Status {},
-    Apply { id: String, by: String, against: u64, changes: Vec<Change> },
-    Restart { instance: String, by: String },
-    Audit { from: u64 },
-    Logs { instance: String, lines: usize },
+    /// Of one instance, or of all.
+    Status {
+        instance: Option<String>,
+    },
+    Apply {
+        id: String,
+        by: String,
+        against: u64,
+        changes: Vec<Change>,
+    },
+    Restart {
+        instance: String,
+        by: String,
+    },
+    Audit {
+        from: u64,
+    },
+    Logs {
+        instance: String,
+        lines: usize,
+    },
 }
 
 struct Kept {
@@ -360,7 +376,7 @@
 
     fn answer(&self, ask: Ask) -> Value {
         let answer = match ask {
-            Ask::Status {} => self.status().map(|status| json!(status)),
+            Ask::Status { instance } => self.status(instance.as_deref()).map(|status| json!(status)),
             Ask::Apply { id, by, against, changes } => self.apply(id, by, against, changes),
             Ask::Restart { instance, by } => Ok(self.restart(&instance, &by)),
             Ask::Logs { instance, lines } => Ok(self.logs(&instance, lines)),
@@ -380,10 +396,8 @@
         tracing::info!(command, by, "{outcome:?}");
         if matches!(outcome, Outcome::Done { .. }) {
             // From the record, and not from this command: one that came again may have been overtaken since.
-            let desired = self.store.desired()?;
             for Change { instance, .. } in &asked.changes {
-                let (Some(kept), Some(entry)) = (self.kept.get(instance), desired.instances.get(instance))
-                else {
+                let (Some(kept), Some(entry)) = (self.kept.get(instance), self.store.entry(instance)?) else {
                     continue;
                 };
                 kept.events.borrow_mut().push(Event::Wants(entry.wanted));
@@ -410,7 +424,7 @@
         json!({"lines": last_lines(&kept.places.log, lines.min(10_000))})
     }
 
-    fn status(&self) -> Result<Status, StoreError> {
+    fn status(&self, of: Option<&str>) -> Result<Status, StoreError> {
         let now = self.now();
         let shown = |kept: &Rc<Kept>| {
             let machine = kept.machine.borrow();
@@ -429,8 +443,9 @@
                 said: said.as_ref().map(|(state, at)| (state.clone(), at.elapsed().as_millis() as u64)),
             }
         };
-        let revision = self.store.desired()?.revision;
-        let instances = self.kept.values().map(shown).collect();
+        let revision = self.store.revision()?;
+        let meant = |kept: &&Rc<Kept>| of.is_none_or(|name| kept.told.name == name);
+        let instances = self.kept.values().filter(meant).map(shown).collect();
         Ok(Status {
             fleet: self.options.config.fleet.name.clone(),
             pid: std::process::id(),
--- a/agent/src/store.rs
+++ b/agent/src/store.rs
@@ -207,6 +207,25 @@
         Ok(outcome)
     }
 
+    /// How many commands were taken.
+    ///
+    /// # Errors
+    /// Where the file can't be read.
+    pub fn revision(&self) -> Result<u64, StoreError> {
+        let transaction = self.0.begin_read()?;
+        Ok(transaction.open_table(META)?.get(REVISION)?.map_or(0, |revision| revision.value()))
+    }
+
+    /// What is wanted of one instance; none where nobody has asked yet.
+    ///
+    /// # Errors
+    /// Where the file can't be read.
+    pub fn entry(&self, instance: &str) -> Result<Option<Entry>, StoreError> {
+        let transaction = self.0.begin_read()?;
+        let entry = transaction.open_table(DESIRED)?.get(instance)?;
+        Ok(entry.map(|entry| serde_json::from_str(entry.value())).transpose()?)
+    }
+
     /// All that is wanted now.
     ///
     /// # Errors
--- a/cli/src/fleet.rs
+++ b/cli/src/fleet.rs
@@ -181,8 +181,11 @@
     Ok(vec![read.config.agent.state.join("agent.sock")])
 }
 
-async fn status_of(socket: &Path) -> Result<Status, String> {
-    let answer = ask(socket, &json!({"op": "status"}), SAYS).await.map_err(|error| error.to_string())?;
+/// Of one instance, or of all: who waits for one need not have all of them read out again and again.
+async fn status_of(socket: &Path, instance: Option<&str>) -> Result<Status, String> {
+    let answer = ask(socket, &json!({"op": "status", "instance": instance}), SAYS)
+        .await
+        .map_err(|error| error.to_string())?;
     match answer.get("error") {
         Some(error) => Err(error.to_string()),
         None => {
@@ -196,7 +199,7 @@
     let mut asked = JoinSet::new();
     for (number, socket) in sockets.iter().cloned().enumerate() {
         asked.spawn_local(async move {
-            let status = status_of(&socket).await;
+            let status = status_of(&socket, None).await;
             (number, socket, status)
         });
     }
@@ -473,10 +476,10 @@
         if left().is_zero() {
             return End::TimedOut(format!("not so within {within:?}: {last}"));
         }
-        match status_of(socket).await {
+        match status_of(socket, Some(name)).await {
             Err(why) => last = why,
             Ok(status) => {
-                let Some(now) = status.instances.iter().find(|instance| instance.name == *name) else {
+                let Some(now) = status.instances.first() else {
                     return End::Unknown("its agent does not have it any more".into());
                 };
                 last = format!("{}: {}", word(now.phase, now.drained), now.reason);
