One piece of code listens and answers on the node's and the agent's sockets

The control socket and the agent's each had the same listening, the same loop over lines and the same care for what an earlier process left at the path, with other bounds. wire/ has it once, beside the asking side that the agent already lent to the tool; each names its bounds. Who finds the path taken is told that somebody answers there, where it was a node or an agent.

--- a/agent/src/agent.rs
+++ b/agent/src/agent.rs
@@ -2,33 +2,29 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
-use std::os::unix::fs::PermissionsExt;
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use ivyhatch_config::{Config, Instance as Told};
+use ivyhatch_wire::{Bounds, ask, listen, serve};
 use rand::RngExt;
 use rand_chacha::ChaCha8Rng;
 use rand_chacha::rand_core::SeedableRng;
 use serde::{Deserialize, Serialize};
 use serde_json::{Value, json};
-use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
-use tokio::net::{UnixListener, UnixStream};
 use tokio::process::Command;
-use tokio::sync::Notify;
+use tokio::sync::{Notify, Semaphore};
 use tokio::task::{LocalSet, spawn_local};
-use tokio::time::{Instant as Clock, sleep, sleep_until, timeout};
+use tokio::time::{Instant as Clock, sleep_until};
 
 use crate::instance::{Action, Event, Instance, Nanos, Patience, Phase, Wanted};
 use crate::process::{Places, Process, cut_back, last_lines};
 use crate::store::{Change, Command as Asked, Outcome, Store, StoreError};
-use crate::wire::ask;
 
-/// Nothing that the agent is asked is longer.
-const LONGEST: u64 = 1 << 20;
-/// Who says nothing for so long, or does not read, is let go.
-const PATIENCE: Duration = Duration::from_secs(30);
+/// Commands over a large fleet ask for each instance by itself, all at once.
+const BOUNDS: Bounds =
+    Bounds { line: 1 << 20, patience: Duration::from_secs(30), connections: Semaphore::MAX_PERMITS };
 
 /// How an agent runs.
 #[derive(Clone, Debug)]
@@ -204,17 +200,8 @@
         spawn_local(agent.clone().keep(kept.clone()));
     }
     tracing::info!("keeps {} instances; asked at {}", agent.kept.len(), agent.options.socket.display());
-    loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                let agent = agent.clone();
-                spawn_local(async move {
-                    let _ = agent.converse(stream).await;
-                });
-            }
-            Err(_) => sleep(Duration::from_millis(20)).await,
-        }
-    }
+    serve(listener, BOUNDS, move |ask| agent.answer(ask)).await;
+    Ok(())
 }
 
 /// Jitter need not be the same again, and two agents' must differ.
@@ -223,19 +210,6 @@
     now ^ (u64::from(std::process::id()) << 32)
 }
 
-fn listen(path: &Path) -> std::io::Result<UnixListener> {
-    if std::os::unix::net::UnixStream::connect(path).is_ok() {
-        return Err(std::io::Error::new(std::io::ErrorKind::AddrInUse, "an agent answers there already"));
-    }
-    match std::fs::remove_file(path) {
-        Err(error) if error.kind() != std::io::ErrorKind::NotFound => return Err(error),
-        _ => {}
-    }
-    let listener = UnixListener::bind(path)?;
-    std::fs::set_permissions(path, std::fs::Permissions::from_mode(0o600))?;
-    Ok(listener)
-}
-
 impl Agent {
     fn now(&self) -> Nanos {
         self.began.elapsed().as_nanos() as Nanos
@@ -357,23 +331,6 @@
         Process::start(command, &kept.places)
     }
 
-    async fn converse(self: Rc<Self>, stream: UnixStream) -> std::io::Result<()> {
-        let (reader, mut writer) = stream.into_split();
-        let mut reader = BufReader::new(reader);
-        loop {
-            let mut line = String::new();
-            let read = timeout(PATIENCE, (&mut reader).take(LONGEST).read_line(&mut line)).await??;
-            if read == 0 || !line.ends_with('\n') {
-                return Ok(());
-            }
-            let answer = match serde_json::from_str(&line) {
-                Ok(ask) => self.answer(ask),
-                Err(error) => json!({"error": error.to_string()}),
-            };
-            timeout(PATIENCE, writer.write_all(format!("{answer}\n").as_bytes())).await??;
-        }
-    }
-
     fn answer(&self, ask: Ask) -> Value {
         let answer = match ask {
             Ask::Status { instance } => self.status(instance.as_deref()).map(|status| json!(status)),
--- a/agent/src/lib.rs
+++ b/agent/src/lib.rs
@@ -8,15 +8,12 @@
 //! | `store` | desired state, commands and their outcomes, the audit: durable |
 //! | `process` | a node's process: started, found again, ended |
 //! | `agent` | the agent: each instance kept, the socket on which it is asked |
-//! | `wire` | one JSON object a line, out and back, by a deadline |
 
 mod agent;
 mod instance;
 mod process;
 mod store;
-mod wire;
 
 pub use agent::{AgentError, Options, Shown, Status, run};
 pub use instance::{Action, Event, Instance, Nanos, Patience, Phase, Wanted};
 pub use store::{Change, Command, Desired, Entry, Outcome, Refusal, Store, StoreError, Written};
-pub use wire::{WireError, ask};
--- a/cli/src/fleet.rs
+++ b/cli/src/fleet.rs
@@ -8,7 +8,8 @@
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use clap::Args;
-use ivyhatch_agent::{Options, Outcome, Phase, Refusal, Shown, Status, Wanted, WireError, ask};
+use ivyhatch_agent::{Options, Outcome, Phase, Refusal, Shown, Status, Wanted};
+use ivyhatch_wire::{WireError, ask};
 use serde::Serialize;
 use serde_json::{Value, json};
 use tokio::task::{JoinSet, LocalSet};
--- a/node/src/control.rs
+++ b/node/src/control.rs
@@ -3,31 +3,22 @@
 
 use std::cell::Cell;
 use std::collections::BTreeMap;
-use std::io::{Error, ErrorKind, Result};
 use std::net::SocketAddr;
-use std::os::unix::fs::PermissionsExt;
-use std::path::Path;
 use std::rc::Rc;
-use std::sync::Arc;
 use std::time::Duration;
 
+use ivyhatch_wire::Bounds;
 use serde::Deserialize;
 use serde_json::{Value, json};
-use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
-use tokio::net::{UnixListener, UnixStream};
-use tokio::sync::{Semaphore, watch};
+use tokio::net::UnixListener;
+use tokio::sync::watch;
 use tokio::task::spawn_local;
-use tokio::time::{Instant, sleep, timeout};
+use tokio::time::{Instant, sleep};
 
 use crate::driver::{Node, Seen};
 use crate::server::Phase;
 
-/// No line is longer.
-const LONGEST: u64 = 4096;
-/// Who says nothing for so long, or does not read, is let go.
-const PATIENCE: Duration = Duration::from_secs(10);
-/// Connections at once; others wait.
-const MOST: usize = 8;
+const BOUNDS: Bounds = Bounds { line: 4096, patience: Duration::from_secs(10), connections: 8 };
 
 #[derive(Deserialize)]
 #[serde(tag = "op", rename_all = "snake_case", deny_unknown_fields)]
@@ -57,55 +48,8 @@
     pub began: Instant,
 }
 
-/// Listens. A file that an earlier node left there is taken away, one on which somebody answers is not.
-pub async fn listen(path: &Path) -> Result<UnixListener> {
-    if std::os::unix::net::UnixStream::connect(path).is_ok() {
-        return Err(Error::new(ErrorKind::AddrInUse, "a node answers there already"));
-    }
-    match std::fs::remove_file(path) {
-        Err(error) if error.kind() != ErrorKind::NotFound => return Err(error),
-        _ => {}
-    }
-    let listener = UnixListener::bind(path)?;
-    std::fs::set_permissions(path, std::fs::Permissions::from_mode(0o600))?;
-    Ok(listener)
-}
-
 pub async fn run(listener: UnixListener, control: Rc<Control>) {
-    let seats = Arc::new(Semaphore::new(MOST));
-    loop {
-        let Ok(seat) = seats.clone().acquire_owned().await else { return };
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                let control = control.clone();
-                spawn_local(async move {
-                    let _ = converse(stream, &control).await;
-                    drop(seat);
-                });
-            }
-            Err(_) => sleep(Duration::from_millis(20)).await,
-        }
-    }
-}
-
-async fn converse(stream: UnixStream, control: &Rc<Control>) -> Result<()> {
-    let (reader, mut writer) = stream.into_split();
-    let mut reader = BufReader::new(reader);
-    loop {
-        let mut line = String::new();
-        let read = timeout(PATIENCE, (&mut reader).take(LONGEST).read_line(&mut line)).await??;
-        if read == 0 {
-            return Ok(());
-        }
-        if !line.ends_with('\n') {
-            return Err(ErrorKind::InvalidData.into());
-        }
-        let answer = match serde_json::from_str(&line) {
-            Ok(ask) => control.answer(ask),
-            Err(error) => json!({"error": error.to_string()}),
-        };
-        timeout(PATIENCE, writer.write_all(format!("{answer}\n").as_bytes())).await??;
-    }
+    ivyhatch_wire::serve(listener, BOUNDS, move |ask| control.answer(ask)).await;
 }
 
 impl Control {
--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -186,7 +186,7 @@
     });
     if let Some(at) = &control_at {
         let told = |source| StartError::Control { at: at.clone(), source };
-        spawn_local(control::run(control::listen(at).await.map_err(told)?, control.clone()));
+        spawn_local(control::run(ivyhatch_wire::listen(at).map_err(told)?, control.clone()));
     }
     tracing::info!("{} serves at {at}", config.name);
     let (address, told) = tokio::sync::watch::channel(config.discovery);
