Keep a connection whose no-delay option can't be set: lists and probes reach the fleet

Ruled out: refused connections (10,285 connects to servers up, 2,654 refused, all of these while the zone was cut), time-outs (the ends come within a millisecond of the connect), and discovery being overbooked (545 of 545 connects up; 365 of them failed in set_nodelay).

Fault: set_nodelay(true)? in discovery.rs connect, upstream.rs open_link and server.rs converse took a wish for a condition. Change: tap::hurry asks for it and goes on.

Two tests with a stream that refuses the option.

--- a/node/src/discovery.rs
+++ b/node/src/discovery.rs
@@ -18,6 +18,7 @@
 
 use crate::driver::{Listed, Node};
 use crate::sparing::Sparing;
+use crate::tap::hurry;
 
 const PATH: &str = "/registry/instances";
 /// How long one watch may wait: short beside an agent on the node's own machine, where a call costs nothing
@@ -208,7 +209,11 @@
 
 async fn connect(at: SocketAddr) -> Result<SendRequest<Empty<Bytes>>, CallError> {
     let stream = timeout(CONNECT, TcpStream::connect(at)).await.map_err(|_| CallError::Late)??;
-    stream.set_nodelay(true)?;
+    link_over(stream).await
+}
+
+async fn link_over(stream: TcpStream) -> Result<SendRequest<Empty<Bytes>>, CallError> {
+    hurry(&stream);
     let (link, connection) = handshake(TokioIo::new(stream)).await?;
     spawn_local(async move {
         if let Err(error) = connection.await {
@@ -217,3 +222,30 @@
     });
     Ok(link)
 }
+
+#[cfg(test)]
+mod tests {
+    use tokio::io::{AsyncReadExt, AsyncWriteExt};
+    use tokio::task::LocalSet;
+
+    use super::*;
+    use crate::tap::tests::unhurried;
+
+    /// Two thirds of a fleet's calls ended before they were made, and no node heard of the servers that had gone.
+    #[tokio::test]
+    async fn a_call_goes_out_on_a_connection_that_cannot_be_hurried() {
+        let (ours, mut theirs) = unhurried();
+        let call = async {
+            let mut link = link_over(ours).await.expect("a link");
+            spawn_local(async move {
+                let mut asked = [0; 4];
+                theirs.read_exact(&mut asked).await.expect("a request");
+                theirs.write_all(b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n").await.expect("an answer");
+                theirs
+            });
+            let request = Request::get(PATH).body(Empty::new()).expect("a request");
+            link.send_request(request).await.map(|response| response.status())
+        };
+        assert_eq!(LocalSet::new().run_until(call).await.ok(), Some(StatusCode::OK));
+    }
+}
--- a/node/src/server.rs
+++ b/node/src/server.rs
@@ -21,7 +21,7 @@
 use crate::driver::{Asked, Call, Node, Reply};
 use crate::seats::{Clerk, Seat, Seated, Seats};
 use crate::sparing::Sparing;
-use crate::tap::Tap;
+use crate::tap::{Tap, hurry};
 use crate::upstream::MAX_BODY;
 
 /// Wait before the next accept after one failed: out of descriptors, the next would fail at once.
@@ -150,7 +150,7 @@
     seat: &std::rc::Rc<Seat>,
     mut phase: watch::Receiver<Phase>,
 ) -> Result<(), Trouble> {
-    stream.set_nodelay(true)?;
+    hurry(&stream);
     // One that comes during the way out is closed by its first answer. Closing it sooner would lose the
     // request for which it was opened.
     let late = *phase.borrow() != Phase::Serving;
--- a/node/src/tap.rs
+++ b/node/src/tap.rs
@@ -65,6 +65,14 @@
     }
 }
 
+/// Asks the system to send small messages at once. A wish: where the option can't be set, the connection is as good as
+/// any other, only slower, and its next read or write tells if it is not.
+pub fn hurry(stream: &TcpStream) {
+    if let Err(error) = stream.set_nodelay(true) {
+        tracing::debug!("small messages may wait: {error}");
+    }
+}
+
 /// One who listens in on a connection.
 pub trait Ear {
     /// These bytes have come.
@@ -126,3 +134,19 @@
         self.stream.is_write_vectored()
     }
 }
+
+#[cfg(test)]
+pub(crate) mod tests {
+    use super::*;
+
+    /// A connection whose system refuses the option, and its other end: the pair is no TCP underneath.
+    pub(crate) fn unhurried() -> (TcpStream, tokio::net::UnixStream) {
+        let (ours, theirs) = std::os::unix::net::UnixStream::pair().expect("a pair");
+        ours.set_nonblocking(true).expect("non-blocking");
+        theirs.set_nonblocking(true).expect("non-blocking");
+        let ours = std::net::TcpStream::from(std::os::fd::OwnedFd::from(ours));
+        let ours = TcpStream::from_std(ours).expect("a stream");
+        assert!(ours.set_nodelay(true).is_err(), "the option can be set: the test shows nothing");
+        (ours, tokio::net::UnixStream::from_std(theirs).expect("a stream"))
+    }
+}
--- a/node/src/upstream.rs
+++ b/node/src/upstream.rs
@@ -23,7 +23,7 @@
 
 use crate::driver::{Clock, Ending, Launch, Launcher, Node};
 use crate::prober::{Probe, Prober};
-use crate::tap::{Heard, Tap};
+use crate::tap::{Heard, Tap, hurry};
 
 /// No body is larger, either way.
 pub const MAX_BODY: usize = 64 * 1024;
@@ -327,7 +327,11 @@
 /// Opens a connection, which counts as open until its task has ended. None where it is not up within `limit`.
 pub(crate) async fn open_link(endpoint: SocketAddr, limit: Duration, counted: Counted) -> Option<Link> {
     let stream = timeout(limit, TcpStream::connect(endpoint)).await.ok()?.ok()?;
-    stream.set_nodelay(true).ok()?;
+    link_over(stream, endpoint, counted).await
+}
+
+async fn link_over(stream: TcpStream, endpoint: SocketAddr, counted: Counted) -> Option<Link> {
+    hurry(&stream);
     let heard = Heard::default();
     let tap = Tap { stream, ear: heard.clone() };
     let mut builder = Builder::new();
@@ -396,3 +400,35 @@
     let figures: Figures = serde_json::from_slice(text).unwrap_or_default();
     Report { util: figures.util, rate: figures.qps, in_flight: figures.inflight }
 }
+
+#[cfg(test)]
+mod tests {
+    use tokio::io::{AsyncReadExt, AsyncWriteExt};
+    use tokio::task::LocalSet;
+
+    use super::*;
+    use crate::tap::tests::unhurried;
+
+    /// A fleet's nodes could not set the option on connections that worked, and took every server that they probed for
+    /// one that can't be reached.
+    #[tokio::test]
+    async fn a_connection_that_cannot_be_hurried_carries_its_exchange() {
+        let (ours, mut theirs) = unhurried();
+        let endpoint = SocketAddr::from(([127, 0, 0, 1], 9));
+        let exchange = async {
+            let link = link_over(ours, endpoint, Counted::new(&Rc::default())).await;
+            let mut send = link.expect("a link").send;
+            spawn_local(async move {
+                let mut asked = [0; 4];
+                theirs.read_exact(&mut asked).await.expect("a request");
+                let answer = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
+                theirs.write_all(answer).await.expect("an answer");
+                theirs
+            });
+            let response = send.send_request(Request::new(Full::default())).await.expect("an answer");
+            read(response).await.0
+        };
+        let ending = LocalSet::new().run_until(exchange).await;
+        assert_eq!((ending.outcome, &ending.body[..]), (Outcome::Served, &b"ok"[..]));
+    }
+}
