--- /dev/null
+++ b/scripts/fleet-count.py
@@ -0,0 +1,60 @@
+#!/usr/bin/env python3
+"""Sums what all nodes of a play counted, by span of five seconds: `scripts/fleet-count.py LOGS`, a folder of *.log."""
+import collections
+import glob
+import re
+import sys
+
+NAMES = (
+    "asked", "past", "by share", "held", "tried", "sent", "beyond", "served", "error", "spoilt", "full", "late",
+    "unconnected", "reset",
+)
+
+
+def main(folder):
+    spans = collections.defaultdict(collections.Counter)
+    events = collections.defaultdict(collections.Counter)
+    for path in glob.glob(f"{folder}/*.log"):
+        for line in open(path, errors="replace"):
+            time = re.match(r"\s*(\d+\.\d+)", line)
+            if not time:
+                continue
+            at = float(time[1])
+            span = int(at / 5 + 0.5) * 5
+            counted = re.search(r"in \d+ s: (.*); (\d+) of (\d+) ejected; zones use (.*); classes admit (.*); spills ([\d.]+)", line)
+            if counted:
+                spans[span]["nodes"] += 1
+                for name in NAMES:
+                    got = re.search(rf"(\d+) {name}", counted[1])
+                    spans[span][name] += int(got[1]) if got else 0
+                spans[span]["ejected"] += int(counted[2])
+                for number, use in enumerate(counted[4].split()):
+                    if use != "?":
+                        spans[span][f"use{number}"] += float(use)
+                        spans[span][f"used{number}"] += 1
+                for number, admit in enumerate(counted[5].split()):
+                    spans[span][f"admit{number}"] += float(admit)
+                spans[span]["spill"] += float(counted[6])
+            elif "load reports" in line:
+                probes = re.search(r"(\d+) of (\d+) probed.* (\d+) unreached; (\d+) probes", line)
+                if probes:
+                    for name, value in zip(("known", "probed", "unreached", "probes"), probes.groups()):
+                        spans[span][name] += int(value)
+            else:
+                told = re.sub(r"^.*(INFO|WARN) \S+ ", "", line.strip())
+                events[int(at / 5) * 5][re.sub(r"[\d.]+", "#", told)[:60]] += 1
+    names = ("nodes",) + NAMES + ("ejected", "known", "probed", "unreached", "probes")
+    print("to   " + " ".join(f"{name[:8]:>8}" for name in names) + "  use of zones, admitted of classes, spilled (mean)")
+    for span in sorted(spans):
+        row = spans[span]
+        means = [row[f"use{n}"] / max(row[f"used{n}"], 1) for n in range(9) if f"used{n}" in row]
+        admits = [row[f"admit{n}"] / row["nodes"] for n in range(9) if f"admit{n}" in row]
+        text = " ".join(f"{mean:.2f}" for mean in means) + " | " + " ".join(f"{a:.2f}" for a in admits)
+        print(f"{span:<4} " + " ".join(f"{row[name]:8}" for name in names) + f"  {text} | {row['spill'] / max(row['nodes'], 1):.2f}")
+    for span in sorted(events):
+        for told, count in events[span].most_common(8):
+            print(f"{span:<4} {count:6} {told}")
+
+
+if __name__ == "__main__":
+    main(sys.argv[1])
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -8,6 +8,7 @@
 mod notices;
 mod policy;
 mod state;
+mod tally;
 mod view;
 
 pub use api::*;
--- a/src/policy/admission.rs
+++ b/src/policy/admission.rs
@@ -6,6 +6,7 @@
 use crate::api::*;
 use crate::held;
 use crate::state::*;
+use crate::tally::Why;
 
 impl Balancer {
     /// Whether a send there would be answered in time. Own idleness is no proof: with many nodes, each
@@ -135,7 +136,7 @@
         }
         self.held.ends_by(self.now + tick, &mut late);
         for (_, id) in late {
-            self.end(id, self.settings.limits.retry_after, actions);
+            self.end(id, Why::Held, self.settings.limits.retry_after, actions);
         }
     }
 
--- a/src/policy/figures.rs
+++ b/src/policy/figures.rs
@@ -129,8 +129,6 @@
 pub(crate) const PROBE_NEAR: f64 = 0.25;
 /// Share of failures from which on a backend is suspect.
 pub(crate) const PROBE_SUSPECT: f64 = 0.3;
-/// How often the log says how old the figures are.
-pub(crate) const AGES_EVERY: Nanos = 10 * SECOND;
 /// A home zone that reports less use than this has places that are about to come free, and a request waits
 /// for one for this part of its aim before it crosses: twice as long as a place takes to come free there.
 pub(crate) const CALM: f64 = 0.6;
--- a/src/policy/ledger.rs
+++ b/src/policy/ledger.rs
@@ -4,6 +4,7 @@
 use super::figures::*;
 use crate::api::*;
 use crate::state::*;
+use crate::tally::Why;
 
 impl Balancer {
     pub(super) fn arrive(&mut self, arrival: Arrival, actions: &mut Vec<Action>) {
@@ -49,6 +50,7 @@
         // Guards against jams that feed on their own repeats: what is past its aim, or more than the servers
         // can do in time, is turned away before it costs them anything.
         let past = aim_end <= self.now && worthless_late;
+        self.tally.asked += 1;
         if !past {
             self.classes[class].asked.add(self.now, 1.0);
         }
@@ -63,7 +65,8 @@
         }
         let admit = if over { self.over_admit } else { admit };
         if past || (admit < 1.0 && self.draw() >= admit) {
-            self.end(arrival.request, self.settings.limits.retry_after, actions);
+            let why = if past { Why::Past } else { Why::Share };
+            self.end(arrival.request, why, self.settings.limits.retry_after, actions);
             return;
         }
         self.dispatch(arrival.request, actions);
@@ -122,6 +125,8 @@
             outcome: None,
         });
         backend.in_flight += 1;
+        self.tally
+            .sent(self.zones.get(backend.member.zone.0 as usize).is_some_and(|z| backend.lot > z.subset));
         let (class, aim_end) = (request.class, request.aim_end);
         let zone = backend.member.zone;
         if backend.ramp(self.now, &self.settings.rules) < 1.0 {
@@ -146,8 +151,9 @@
     }
 
     /// The one place that ends requests: refused where trying again does no harm, failed otherwise.
-    pub(super) fn end(&mut self, id: RequestId, pause: Nanos, actions: &mut Vec<Action>) {
+    pub(super) fn end(&mut self, id: RequestId, why: Why, pause: Nanos, actions: &mut Vec<Action>) {
         let Some(request) = self.requests.get(&id) else { return };
+        self.tally.ended(why);
         if self.now < request.aim_end {
             self.unserved.add(self.now, 1.0);
         }
@@ -187,6 +193,7 @@
             return;
         };
         attempt.outcome = Some(settled.outcome);
+        self.tally.outcome(settled.outcome);
         let (to, load, zone) = (attempt.backend, attempt.load, attempt.zone);
         let open = request.phase != Phase::Ended;
         let view = self.zones.get_mut(zone.0 as usize);
--- a/src/policy/probes.rs
+++ b/src/policy/probes.rs
@@ -1,7 +1,7 @@
 //! Probes for load reports: what they may cost, what a fresh figure would change, and what one tells. Whose
 //! turn comes when is the scheduler's, in `probing/`.
 
-use brookfield_probing::{Ages, Candidate, End, Interest, Limits as Bounds, Scheduler};
+use brookfield_probing::{Candidate, End, Interest, Limits as Bounds, Scheduler};
 
 use super::figures::*;
 use crate::api::*;
@@ -46,7 +46,7 @@
     }
 
     /// What a fresh figure would change of each server kept to, and what an arrival earns by now.
-    pub(super) fn weigh_probes(&mut self, actions: &mut Vec<Action>) {
+    pub(super) fn weigh_probes(&mut self) {
         let Some(mut probes) = self.probes.take() else { return };
         probes.review(self.now);
         // The work of probes stays a small part of that of requests, however little a probe is said to cost.
@@ -73,17 +73,7 @@
             };
             probes.interest(id, interest);
         }
-        let ages = probes.ages(self.now);
         self.probes = Some(probes);
-        if self.now >= self.ages_at && ages.sent > 0 {
-            self.ages_at = self.now + AGES_EVERY;
-            let Ages { listed, kept, known, unreached, sent, oldest } = ages;
-            actions.push(Action::Log(format!(
-                "load reports: {known} of {kept} probed backends ({listed} listed) known, the oldest {} ms \
-                 old; {unreached} unreached; {sent} probes so far",
-                oldest / MS
-            )));
-        }
     }
 
     /// Takes the end of a probe in. What an earlier life of the server said, or one that has left, is passed
--- a/src/policy/retries.rs
+++ b/src/policy/retries.rs
@@ -3,6 +3,7 @@
 use super::figures::*;
 use crate::api::*;
 use crate::state::*;
+use crate::tally::Why;
 
 impl Balancer {
     /// Most retries that a node may save up: many nodes together must not save a storm.
@@ -25,7 +26,7 @@
             || !self.may_go(request)
             || !self.backends.values().any(|backend| self.permits(request, backend))
         {
-            self.end(id, pause, actions);
+            self.end(id, Why::Tried, pause, actions);
             return;
         }
         // Where no backend has room this moment it is held: most have some before the aim has passed.
--- a/src/policy/zones.rs
+++ b/src/policy/zones.rs
@@ -12,7 +12,7 @@
 
     /// A zone's utilisation: smoothed reports, raised by the own sends since they were made. Never lowered:
     /// a zone reported full would look free in a moment's lull.
-    pub(super) fn utilisation(&self, zone: ZoneId) -> Option<f64> {
+    pub(crate) fn utilisation(&self, zone: ZoneId) -> Option<f64> {
         let view = self.zones.get(zone.0 as usize)?;
         let ZoneSum { used, size, usable, known, .. } = self.sum(zone);
         // Too few figures to stand for the others.
@@ -87,7 +87,8 @@
         if self.many() {
             self.admit();
         }
-        self.weigh_probes(actions);
+        self.weigh_probes();
+        self.say_tally(actions);
         let spilling = self.utilisation(home).is_some_and(|util| util >= threshold);
         if std::mem::replace(&mut self.zones[home.0 as usize].spilling, spilling) != spilling {
             let to = self.overflow.first().map_or(home.0, |zone| zone.0);
--- a/src/state.rs
+++ b/src/state.rs
@@ -9,6 +9,7 @@
 use crate::api::*;
 use crate::held::{Held, Hold};
 use crate::notices::Notices;
+use crate::tally::Tally;
 
 pub(crate) const SECOND: Nanos = 1_000_000_000;
 /// Time constant of the node's own rates: some requests of each of many nodes, yet short against a trouble.
@@ -281,7 +282,7 @@
     pub(crate) share_at: Nanos,
     /// Whose load is asked for, where the settings let it be.
     pub(crate) probes: Option<Scheduler>,
-    pub(crate) ages_at: Nanos,
+    pub(crate) tally: Tally,
 }
 
 impl Balancer {
--- a/src/view.rs
+++ b/src/view.rs
@@ -10,6 +10,7 @@
 use crate::notices::Notices;
 use crate::policy::figures::*;
 use crate::state::*;
+use crate::tally::Tally;
 
 impl Balancer {
     /// A node that knows nothing yet. `seed` drives its jitter.
@@ -67,7 +68,7 @@
             list_period: 1.0,
             share_at: 0,
             probes,
-            ages_at: now,
+            tally: Tally::default(),
         })
     }
 
