Spread first calls to discovery, and those after a failure, over a span that grows with nodes

After the release 30 of 70 restarted nodes routed by the list of their life before for ten seconds (n3: 39 of 53 sends unconnected, n7 with the new list: none of 144).

Ruled out: watches renewed too often (a pause of 600 ms after each list leaves 573 failures), the servers' connection limit (refusals are of processes that have gone).

Fault: discovery.rs run() began at once and waited 0.3 s, times a quarter up or down, after a failure, whatever the number of nodes.

Tried and not kept: a wait after each list too.

--- a/node/src/discovery.rs
+++ b/node/src/discovery.rs
@@ -17,6 +17,7 @@
 use tokio::time::{sleep, timeout};
 
 use crate::driver::{Listed, Node};
+use crate::pace::Pace;
 use crate::sparing::Sparing;
 use crate::tap::hurry;
 
@@ -110,16 +111,18 @@
     at: SocketAddr,
     rev: Option<u64>,
     link: Option<SendRequest<Empty<Bytes>>>,
+    pace: Pace,
 }
 
 impl Watch {
-    /// A watch at `at` that goes on from `known`, which may be old.
-    pub fn new(node: Node, at: SocketAddr, known: Option<List>) -> Self {
+    /// A watch at `at` that goes on from `known`, which may be old. `seed` drives when it calls.
+    pub fn new(node: Node, at: SocketAddr, known: Option<List>, seed: u64) -> Self {
         let rev = known.as_ref().map(|list| list.rev);
         if let Some(list) = known {
             node.fleet(ListScope::Cached, list.targets.into_iter().map(Target::listed).collect());
         }
-        Self { node, at, rev, link: None }
+        let pace = node.discovery_pace(seed);
+        Self { node, at, rev, link: None, pace }
     }
 
     /// Watches, at the address told last; never ends.
@@ -128,12 +131,20 @@
         let (hold, again) = if asked { (HOLD_ASKED, AGAIN_ASKED) } else { (HOLD_PUSHED, AGAIN_PUSHED) };
         let mut wait = again.0;
         let mut sparing = Sparing::default();
+        let mut pause = self.pace.wait();
         loop {
             let answer = tokio::select! {
                 biased;
                 Ok(()) = address.changed() => None,
-                answer = self.call(hold) => Some(answer),
+                answer = async {
+                    sleep(pause).await;
+                    self.call(hold).await
+                } => Some(answer),
             };
+            self.pace.called(!matches!(answer, Some(Err(_))));
+            // A list that came is followed at once: for 200 ms its watch counts as continued, and what changes then as told.
+            // So is what has moved.
+            pause = if matches!(answer, Some(Err(_))) { self.pace.wait() } else { Duration::ZERO };
             match answer {
                 None => {
                     self.move_to(*address.borrow_and_update());
--- a/node/src/driver.rs
+++ b/node/src/driver.rs
@@ -17,6 +17,7 @@
 use hyper::{HeaderMap, Method, Uri};
 use tokio::sync::{Notify, oneshot};
 
+use crate::pace::Pace;
 use crate::prober::Probe;
 
 /// How long past a request's end the driver waits for the module before it answers by itself: longer than
@@ -391,6 +392,17 @@
         self.driver.borrow().settings.discovery == Discovery::Asked
     }
 
+    /// How this node's calls to discovery are spread.
+    pub fn discovery_pace(&self, seed: u64) -> Pace {
+        let settings = &self.driver.borrow().settings;
+        match settings.discovery {
+            Discovery::Asked => {
+                Pace::new(settings.nodes, Duration::from_nanos(settings.rules.ask_within), seed)
+            }
+            _ => Pace::at_once(),
+        }
+    }
+
     /// Takes a request; the answer comes through what is returned. Dropping that first means that the client
     /// has gone. None where its id is in use: passed on, it would count as another attempt of that request.
     pub fn submit(&self, asked: Asked) -> Option<Waiting> {
--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -6,6 +6,7 @@
 mod control;
 mod discovery;
 mod driver;
+mod pace;
 mod prober;
 mod seats;
 mod server;
@@ -166,7 +167,7 @@
     spawn_local(Upstream::sweep(pool, prober));
     let node = Node::new(site.settings, site.words, seed, clock, Rc::new(upstream))
         .map_err(|error| StartError::Settings(error.to_string()))?;
-    let watch = discovery::Watch::new(node.clone(), config.discovery, config.known);
+    let watch = discovery::Watch::new(node.clone(), config.discovery, config.known, seed);
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
     let listener =
