Take by how much of its aim the mean answer takes, not by what was served of all asked

Refusals count as asked and not as served, so the share grew by 15 % in three seconds at best, and the errors of bad servers shrank it like a jam.

Fault: admit() in policy/admission.rs, own = OVERDRAW x served / asked. Change: a node smooths over a second the part of its aim that an answer takes, time-outs and turned away ones as all of it; while that is over 0.42, and over 1.25 of the least known, it takes less by up to half a second, else as much more. What errs, resets or refuses is health's matter.

--- a/src/learning.rs
+++ b/src/learning.rs
@@ -86,6 +86,13 @@
     pub(crate) fn learn(&mut self, id: BackendId, class: usize, cost: f64, load: f64, settled: &Settlement) {
         let ratio = settled.elapsed as f64 / self.delay(class, load).max(1.0);
         let served = settled.outcome == Outcome::Served;
+        let part = settled.elapsed as f64 / self.settings.classes[class].aim as f64;
+        match settled.outcome {
+            Outcome::Served => self.strain.feed(self.now, part.min(1.0)),
+            // Not in the time that there was; or no place even at the end of the queue.
+            Outcome::TimedOut | Outcome::Full => self.strain.feed(self.now, 1.0),
+            _ => {}
+        }
         let Some(backend) = self.backends.get_mut(&id) else { return };
         backend.in_flight = backend.in_flight.saturating_sub(1);
         if backend.health != Health::Healthy {
--- a/src/policy/admission.rs
+++ b/src/policy/admission.rs
@@ -207,17 +207,15 @@
     /// are late, or absent where discovery is down: what came back in time of what was asked bounds it too.
     pub(super) fn admit(&mut self) {
         let asked = self.asked();
-        let served: f64 = self.classes.iter().map(|class| class.served.now(self.now)).sum();
         let home = &self.zones[self.settings.home.0 as usize];
-        // A node sees few answers: its own bound rests while the list shows home at half the threshold.
-        let fresh = self.listed_at.is_some_and(|at| self.now.saturating_sub(at) < UTIL_TRUST);
-        let calm = fresh && home.held < 0.5 * SHARED_THRESHOLD / (1.0 - SHARED_THRESHOLD);
-        // What may still come in time has not failed: counted so, a node that starts refused nearly all.
-        let hopeful = |r: &&Request| self.now < r.aim_end && r.attempts.iter().any(Attempt::out);
-        let pending = self.requests.values().filter(hopeful).count() as f64;
-        let served = served + pending * SECOND as f64 / RATE_SMOOTHING as f64;
-        let own = if calm { 1.0 } else { OVERDRAW * (served + 0.5) / (asked + 0.5) };
-        let taken = home.taken.min(own);
+        let (strain, least) = self.strain.now(self.now);
+        let most = least.map_or(1.0, |least| STRAINED.max(STRAIN_RISE * least));
+        let (down, up) = STRAIN_STEPS;
+        let seconds = self.now.saturating_sub(self.admit_at).min(SECOND) as f64 / SECOND as f64;
+        let change = (most / strain.max(1e-3) - 1.0).clamp(down, up) * seconds;
+        self.own_taken = (self.own_taken * (1.0 + change)).clamp(LEAST_TAKEN, 1.0);
+        self.admit_at = self.now;
+        let taken = home.taken.min(self.own_taken);
         // A tenant that floods is turned away first, down to this node's part of its share.
         let over: f64 =
             (0..self.tenants.len()).map(|t| self.over_share(t) * self.tenants[t].now(self.now)).sum();
--- a/src/policy/figures.rs
+++ b/src/policy/figures.rs
@@ -91,8 +91,13 @@
 pub(crate) const RESPONSE: (f64, f64) = (0.1, 2.0);
 /// Part of the aim, on the mean, that a zone's load may fill before arrivals are turned away.
 pub(crate) const ROOM: f64 = 0.7;
-/// Arrivals taken for each one that was lately answered in time (adaptive throttling).
-pub(crate) const OVERDRAW: f64 = 1.15;
+/// Part of its aim that the mean answer may take before a node among many takes less.
+pub(crate) const STRAINED: f64 = 0.42;
+/// Nor is it strain where answers take no more than so many times what they took at their quickest, by
+/// the mean of thirty.
+pub(crate) const STRAIN_RISE: f64 = 1.25;
+/// Least and most by which a second changes what it takes, in a jam and once it is over.
+pub(crate) const STRAIN_STEPS: (f64, f64) = (-0.5, 0.5);
 /// Part of the difference to the wanted load that one list's figures correct, in the share of the arrivals
 /// that spills and the share that is taken; and the least of the latter, so that an end of the jam is seen.
 pub(crate) const GAIN: f64 = 0.5;
--- a/src/state.rs
+++ b/src/state.rs
@@ -68,6 +68,43 @@
     (-(span as f64) / tau as f64).exp()
 }
 
+/// Time constant of the strain: an aim or two, as a jam is there within seconds and feeds on what is sent meanwhile.
+const STRAIN_SMOOTHING: Nanos = SECOND;
+
+/// How much of their aims the answers of all backends take: thin traffic says little of one of them, but enough of all.
+#[derive(Clone, Copy)]
+pub(crate) struct Strain {
+    mean: Smooth,
+    samples: u32,
+    least: f64,
+}
+
+impl Default for Strain {
+    fn default() -> Self {
+        Self { mean: Smooth::default(), samples: 0, least: 1.0 }
+    }
+}
+
+impl Strain {
+    /// Answers over which the mean is made where many come, and from which on it stands for something.
+    const ANSWERS: u32 = 30;
+
+    /// Takes one answer in; `part` of its aim, 1 at most.
+    pub(crate) fn feed(&mut self, now: Nanos, part: f64) {
+        self.mean.feed(now, part, STRAIN_SMOOTHING, 1.0 / f64::from(Self::ANSWERS));
+        self.samples = self.samples.saturating_add(1);
+        if self.samples >= Self::ANSWERS {
+            self.least = self.least.min(self.mean.value);
+        }
+    }
+
+    /// The mean, forgotten while nothing comes, and the least that it was; none while that is not known.
+    pub(crate) fn now(&self, now: Nanos) -> (f64, Option<f64>) {
+        let known = (self.samples >= Self::ANSWERS).then_some(self.least);
+        (self.mean.fading(now, RATE_SMOOTHING), known)
+    }
+}
+
 /// One attempt of a request.
 pub(crate) struct Attempt {
     pub(crate) backend: BackendId,
@@ -262,6 +299,10 @@
     /// Requests of each tenant, and the share of those over their shares that is taken.
     pub(crate) tenants: Vec<Rate>,
     pub(crate) over_admit: f64,
+    /// The mean answer as a part of its aim, and the share of the arrivals taken by it.
+    pub(crate) strain: Strain,
+    pub(crate) own_taken: f64,
+    pub(crate) admit_at: Nanos,
     /// Arrivals with so little time that they may be repeats, and requests that ended unserved in time for one.
     pub(crate) short: Rate,
     pub(crate) unserved: Rate,
--- a/tests/many.rs
+++ b/tests/many.rs
@@ -199,6 +199,60 @@
     assert!(after > 40, "{after} of 50 after the jam");
 }
 
+/// A node of a fleet of a hundred with seventeen requests a second, for so many seconds: the share that is sent. Each
+/// attempt ends as `ends` says of its number.
+fn share_sent(node: &mut Node, seconds: u64, ends: impl Fn(u64) -> (Outcome, Nanos)) -> f64 {
+    let (mut taken, count) = (0, 17 * seconds);
+    let mut out: Vec<(Nanos, RequestId, Outcome, Nanos)> = Vec::new();
+    for turn in 0..count {
+        let (request, actions) = node.ask(2 * SECOND);
+        if sent(&actions).is_some() {
+            taken += 1;
+            let (outcome, took) = ends(turn);
+            out.push((node.now + took, request, outcome, took));
+        }
+        node.now += SECOND / 17;
+        let due = out.extract_if(.., |(at, ..)| *at <= node.now).collect::<Vec<_>>();
+        for (_, request, outcome, took) in due {
+            node.settle_after(request, 0, outcome, took, Report::default());
+        }
+    }
+    f64::from(taken) / count as f64
+}
+
+fn of_a_hundred() -> Node {
+    let given = Settings { nodes: 100, ..settings(Effect::Once) };
+    let given = Settings { classes: vec![class(700, 3300, Effect::Once)], ..given };
+    Node::new(given, (0..60).map(|b| member(b, b / 20)).collect())
+}
+
+/// The fleet days: the share taken was bound by what had been served of all that was asked, the refused included. It
+/// grew by 15 % in three seconds once a jam was over, and servers stood idle for the rest of the day.
+#[test]
+fn a_node_that_refused_in_a_jam_takes_all_again_within_seconds_of_its_end() {
+    let mut node = of_a_hundred();
+    assert!(share_sent(&mut node, 5, |_| (Outcome::Served, 180 * MS)) > 0.95);
+    share_sent(&mut node, 8, |_| (Outcome::TimedOut, 700 * MS));
+    let jammed = share_sent(&mut node, 4, |_| (Outcome::TimedOut, 700 * MS));
+    assert!(jammed < 0.2, "{jammed} sent into a jam");
+    share_sent(&mut node, 8, |_| (Outcome::Served, 180 * MS));
+    let after = share_sent(&mut node, 4, |_| (Outcome::Served, 180 * MS));
+    assert!(after > 0.9, "{after} sent eight seconds after the jam");
+}
+
+/// The same bound took the errors of bad servers for a lack of room, and refused what well ones would have served.
+#[test]
+fn errors_of_some_servers_are_no_jam() {
+    let mut node = of_a_hundred();
+    let ends = |turn| match turn % 10 {
+        0..3 => (Outcome::Error, 50 * MS),
+        _ => (Outcome::Served, 180 * MS),
+    };
+    share_sent(&mut node, 20, ends);
+    let taken = share_sent(&mut node, 10, ends);
+    assert!(taken > 0.9, "{taken} taken where three servers in ten err");
+}
+
 /// Servers worked on what was already past its aim; with few nodes the repeats would cost more.
 #[test]
 fn attempts_end_at_a_worthless_aim_only_where_nodes_are_many() {
