Never take less than was lately answered in time

A node goes on to take less while the last late answers of a jam come in, and then needs seven seconds to come back from 0.05.

Fault: admit() bounds the share taken below by LEAST_TAKEN alone. Change: by what was answered in time of what was asked, which surely has room.

--- a/src/policy/admission.rs
+++ b/src/policy/admission.rs
@@ -213,7 +213,10 @@
         let (down, up) = STRAIN_STEPS;
         let seconds = self.now.saturating_sub(self.admit_at).min(SECOND) as f64 / SECOND as f64;
         let change = (most / strain.max(1e-3) - 1.0).clamp(down, up) * seconds;
-        self.own_taken = (self.own_taken * (1.0 + change)).clamp(LEAST_TAKEN, 1.0);
+        // What was answered in time had room: to take less than that would only make the jam's end last.
+        let served: f64 = self.classes.iter().map(|class| class.served.now(self.now)).sum();
+        let least = (served / asked.max(1e-9)).clamp(LEAST_TAKEN, 1.0);
+        self.own_taken = (self.own_taken * (1.0 + change)).clamp(least, 1.0);
         self.admit_at = self.now;
         let taken = home.taken.min(self.own_taken);
         // A tenant that floods is turned away first, down to this node's part of its share.
--- a/tests/many.rs
+++ b/tests/many.rs
@@ -240,6 +240,20 @@
     assert!(after > 0.9, "{after} sent eight seconds after the jam");
 }
 
+/// While the last late answers of a jam still came in, nodes went on to take less: down to a tenth of what was served.
+#[test]
+fn a_node_takes_no_less_than_it_serves_in_time() {
+    let mut node = of_a_hundred();
+    share_sent(&mut node, 5, |_| (Outcome::Served, 180 * MS));
+    let ends = |turn| match turn % 3 {
+        0 => (Outcome::TimedOut, 700 * MS),
+        _ => (Outcome::Served, 300 * MS),
+    };
+    share_sent(&mut node, 3, |_| (Outcome::TimedOut, 700 * MS));
+    let taken = share_sent(&mut node, 6, ends);
+    assert!(taken > 0.28, "{taken} sent where two of three are served in time");
+}
+
 /// The same bound took the errors of bad servers for a lack of room, and refused what well ones would have served.
 #[test]
 fn errors_of_some_servers_are_no_jam() {
