Pace draws by the module's own bit mixer, and says when it waits

Read once more: node/src/pace.rs had a second copy of state.rs' mix, which the crate now lets be called; its page said that waits follow each list, which was tried and not kept. One test for a failed call instead of two, a field that nobody else reads is private. What is sent, when and to whom follows the same rules; the jitter's draws are other ones of the same spread. Tests unchanged but for how one fixture is written.

--- a/node/src/discovery.rs
+++ b/node/src/discovery.rs
@@ -141,10 +141,11 @@
                     self.call(hold).await
                 } => Some(answer),
             };
-            self.pace.called(!matches!(answer, Some(Err(_))));
+            let failed = matches!(answer, Some(Err(_)));
+            self.pace.called(!failed);
             // A list that came is followed at once: for 200 ms its watch counts as continued, and what changes then as told.
             // So is what has moved.
-            pause = if matches!(answer, Some(Err(_))) { self.pace.wait() } else { Duration::ZERO };
+            pause = if failed { self.pace.wait() } else { Duration::ZERO };
             match answer {
                 None => {
                     self.move_to(*address.borrow_and_update());
--- a/node/src/pace.rs
+++ b/node/src/pace.rs
@@ -1,10 +1,12 @@
-//! When a call to discovery may go out, where one discovery serves all nodes: they start together, and a change of the list
-//! ends all their watches in the same moment, so each waits for a part of a span, drawn by chance (full jitter).
+//! When a first call to discovery, or one after a failure, may go out, where one discovery serves all nodes: they start together
+//! and are turned away together, so each waits for a part of a span, drawn by chance (full jitter).
 
 use std::time::Duration;
 
+use brookfield::mix;
+
 /// What each node adds to the span: a call takes a single service some hundredths of a second, and it takes all nodes' in
-/// turn. Three nodes hardly wait; of a hundred each calls every few seconds on the mean, and none is turned away.
+/// turn. Three nodes hardly wait; a hundred that start together spread their calls over five seconds.
 const EACH: Duration = Duration::from_millis(50);
 
 /// Spreads a node's calls.
@@ -36,9 +38,7 @@
     pub fn wait(&mut self) -> Duration {
         let span = self.span.saturating_mul(1 << self.failures.min(16)).min(self.most);
         self.random = self.random.wrapping_add(0x9e37_79b9_7f4a_7c15);
-        let mut bits = (self.random ^ (self.random >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-        bits = (bits ^ (bits >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-        span.mul_f64((bits >> 11) as f64 / (1u64 << 53) as f64)
+        span.mul_f64((mix(self.random) >> 11) as f64 / (1u64 << 53) as f64)
     }
 }
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -12,4 +12,4 @@
 mod view;
 
 pub use api::*;
-pub use state::Balancer;
+pub use state::{Balancer, mix};
--- a/src/state.rs
+++ b/src/state.rs
@@ -58,7 +58,7 @@
 }
 
 /// Spreads the bits of a number; drives random draws and lots.
-pub(crate) fn mix(mut z: u64) -> u64 {
+pub fn mix(mut z: u64) -> u64 {
     z = (z ^ (z >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
     z = (z ^ (z >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
     z ^ (z >> 31)
--- a/src/tally.rs
+++ b/src/tally.rs
@@ -25,7 +25,7 @@
 pub(crate) struct Tally {
     said: Nanos,
     pub(crate) asked: u32,
-    pub(crate) ended: [u32; 4],
+    ended: [u32; 4],
     outcomes: [u32; OUTCOMES],
     beyond: u32,
     sent: u32,
--- a/tests/many.rs
+++ b/tests/many.rs
@@ -221,8 +221,8 @@
 }
 
 fn of_a_hundred() -> Node {
-    let given = Settings { nodes: 100, ..settings(Effect::Once) };
-    let given = Settings { classes: vec![class(700, 3300, Effect::Once)], ..given };
+    let classes = vec![class(700, 3300, Effect::Once)];
+    let given = Settings { nodes: 100, classes, ..settings(Effect::Once) };
     Node::new(given, (0..60).map(|b| member(b, b / 20)).collect())
 }
 
