--- a/node/src/discovery.rs
+++ b/node/src/discovery.rs
@@ -14,7 +14,7 @@
 use tokio::net::TcpStream;
 use tokio::sync::watch;
 use tokio::task::spawn_local;
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep, timeout};
 
 use crate::driver::{Listed, Node};
 use crate::pace::Pace;
@@ -138,7 +138,8 @@
                 Ok(()) = address.changed() => None,
                 answer = async {
                     sleep(pause).await;
-                    self.call(hold).await
+                    let began = Instant::now();
+                    self.call(hold).await.map(|list| (list, began.elapsed()))
                 } => Some(answer),
             };
             let failed = matches!(answer, Some(Err(_)));
@@ -151,9 +152,9 @@
                     self.move_to(*address.borrow_and_update());
                     (wait, sparing) = (again.0, Sparing::default());
                 }
-                Some(Ok(list)) => {
+                Some(Ok((list, after))) => {
                     wait = again.0;
-                    self.take(list);
+                    self.take(list, after);
                 }
                 Some(Err(error)) => {
                     sparing.say(|more| tracing::warn!("discovery: {error} ({more} more)"));
@@ -177,7 +178,9 @@
         (self.at, self.rev, self.link) = (at, None, None);
     }
 
-    fn take(&mut self, list: List) {
+    fn take(&mut self, list: List, after: Duration) {
+        let (scope, lines) = (if list.all { "whole" } else { "changes" }, list.targets.len());
+        tracing::info!("list {} ({scope}, {lines} lines) {} ms after its call", list.rev, after.as_millis());
         self.rev = Some(list.rev);
         let scope = if list.all { ListScope::Full } else { ListScope::Changes };
         if list.all || !list.targets.is_empty() {
