Discovery: watches' waits are drawn, silence is found half a second after, retries meet what is owed

Followed: all six watches were called at 0.03 to 0.24 s and fell silent; each was given up at 21.03 to 21.24 s (wait 20 s + 1 s), waited 0.3 to 0.9 s more, and its next call stood in discovery's queue for 0.38 to 1.91 s behind the others' (list 3 arrived at 21.57, 21.93, 22.29, 22.65, 23.01 and 23.37 s, one each 0.36 s); what was missed counted as told at 22.04 s and the grace is 0.5 s. Ruled out: slow ends of waits (discovery answers an idle watch 20.000 s after its call), the module's choice after a notice (no send after a list had been taken), the half of the grace in may_write. At fault: node/src/discovery.rs, HOLD_ASKED + GRACE for every call, the whole-list call included (21 s, where its silence counts after 6 s), and two waits one after the other.

Change: pace.rs decides when to call, how long the wait is and when a call is given up. A watch's wait is drawn from 10 to 20 s, so that watches which fell silent together end apart; it is given up 0.5 s after, a whole-list call after 3 s; the first try after a silent watch goes out at once; until what was missed (or what a new address has to tell) counts as told, a wait takes at most half of what is left. An agent of the node's own is asked every 1.5 to 3 s, and tried again within a quarter of the settings' grace (0.8 s was more than a grace of 0.5 s leaves). The loop's two backoffs are one; first tries at the start are as before.

--- a/node/src/discovery.rs
+++ b/node/src/discovery.rs
@@ -17,22 +17,11 @@
 use tokio::time::{Instant, sleep, timeout};
 
 use crate::driver::{Listed, Node};
-use crate::pace::Pace;
+use crate::pace::{Failure, Pace};
 use crate::sparing::Sparing;
 use crate::tap::hurry;
 
 const PATH: &str = "/registry/instances";
-/// How long one watch may wait: short beside an agent on the node's own machine, where a call costs nothing
-/// and one that has gone silent should be noticed; long where all nodes ask one service.
-const HOLD_PUSHED: Duration = Duration::from_secs(5);
-const HOLD_ASKED: Duration = Duration::from_secs(20);
-/// An answer this long after the wait was over does not come any more.
-const GRACE: Duration = Duration::from_secs(1);
-/// First and last wait after a failure. Where discovery is asked the module calls for the next try itself,
-/// and the wait is only there in case it does not.
-const AGAIN_PUSHED: (Duration, Duration) = (Duration::from_millis(50), Duration::from_millis(800));
-const AGAIN_ASKED: (Duration, Duration) = (Duration::from_secs(5), Duration::from_secs(10));
-const CONNECT: Duration = Duration::from_millis(500);
 /// A list of thousands of backends fits.
 const MAX_LIST: usize = 4 * 1024 * 1024;
 
@@ -99,6 +88,8 @@
     Status(StatusCode),
     #[error("not a list: {0}")]
     Malformed(#[from] serde_json::Error),
+    #[error("no connection in time")]
+    Unreached,
     #[error("no answer in time")]
     Late,
     #[error("no such request: {0}")]
@@ -112,6 +103,8 @@
     rev: Option<u64>,
     link: Option<SendRequest<Empty<Bytes>>>,
     pace: Pace,
+    /// Times for the pace are since then.
+    began: Instant,
 }
 
 impl Watch {
@@ -122,51 +115,39 @@
             node.fleet(ListScope::Cached, list.targets.into_iter().map(Target::listed).collect());
         }
         let pace = node.discovery_pace(seed);
-        Self { node, at, rev, link: None, pace }
+        Self { node, at, rev, link: None, pace, began: Instant::now() }
     }
 
     /// Watches, at the address told last; never ends.
     pub async fn run(mut self, mut address: watch::Receiver<SocketAddr>) {
-        let asked = self.node.asks_discovery();
-        let (hold, again) = if asked { (HOLD_ASKED, AGAIN_ASKED) } else { (HOLD_PUSHED, AGAIN_PUSHED) };
-        let mut wait = again.0;
         let mut sparing = Sparing::default();
-        let mut pause = self.pace.wait();
         loop {
+            let pause = self.pace.pause(self.began.elapsed());
             let answer = tokio::select! {
                 biased;
                 Ok(()) = address.changed() => None,
                 answer = async {
                     sleep(pause).await;
                     let began = Instant::now();
-                    self.call(hold).await.map(|list| (list, began.elapsed()))
+                    self.call().await.map(|list| (list, began.elapsed()))
                 } => Some(answer),
             };
-            let failed = matches!(answer, Some(Err(_)));
-            self.pace.called(!failed);
-            // A list that came is followed at once: for 200 ms its watch counts as continued, and what changes then as told.
-            // So is what has moved.
-            pause = if failed { self.pace.wait() } else { Duration::ZERO };
             match answer {
                 None => {
                     self.move_to(*address.borrow_and_update());
-                    (wait, sparing) = (again.0, Sparing::default());
+                    self.pace.moved(self.began.elapsed());
+                    sparing = Sparing::default();
                 }
                 Some(Ok((list, after))) => {
-                    wait = again.0;
+                    self.pace.brought();
                     self.take(list, after);
                 }
                 Some(Err(error)) => {
                     sparing.say(|more| tracing::warn!("discovery: {error} ({more} more)"));
                     self.link = None;
+                    let silent = matches!(error, CallError::Late);
+                    self.pace.failed(if silent { Failure::Silent } else { Failure::Broken });
                     self.node.fleet_failed();
-                    let moved = address.clone();
-                    tokio::select! {
-                        () = sleep(wait) => {}
-                        () = self.node.discovery_wanted() => {}
-                        () = told_anew(moved) => {}
-                    }
-                    wait = (wait * 2).min(again.1);
                 }
             }
         }
@@ -188,19 +169,20 @@
         }
     }
 
-    async fn call(&mut self, hold: Duration) -> Result<List, CallError> {
-        let whole = self.node.take_whole_list();
-        let target = match self.rev.filter(|_| !whole) {
-            Some(rev) => format!("{PATH}?from={rev}&hold_ms={}", hold.as_millis()),
+    async fn call(&mut self) -> Result<List, CallError> {
+        let from = self.rev.filter(|_| !self.node.take_whole_list());
+        let turn = self.pace.turn(self.began.elapsed(), from.is_none());
+        let target = match from {
+            Some(rev) => format!("{PATH}?from={rev}&hold_ms={}", turn.hold.as_millis()),
             None => PATH.to_owned(),
         };
-        timeout(hold + GRACE, self.ask(&target)).await.map_err(|_| CallError::Late)?
+        timeout(turn.patience, self.ask(&target)).await.map_err(|_| CallError::Late)?
     }
 
     async fn ask(&mut self, target: &str) -> Result<List, CallError> {
         let mut link = match self.link.take().filter(|link| !link.is_closed()) {
             Some(link) => link,
-            None => connect(self.at).await?,
+            None => connect(self.at, self.pace.connect()).await?,
         };
         link.ready().await?;
         let request = Request::get(target).header(HOST, self.at.to_string()).body(Empty::new())?;
@@ -215,15 +197,8 @@
     }
 }
 
-/// Waits for another address; the change stays to be seen.
-async fn told_anew(mut address: watch::Receiver<SocketAddr>) {
-    if address.changed().await.is_err() {
-        std::future::pending::<()>().await;
-    }
-}
-
-async fn connect(at: SocketAddr) -> Result<SendRequest<Empty<Bytes>>, CallError> {
-    let stream = timeout(CONNECT, TcpStream::connect(at)).await.map_err(|_| CallError::Late)??;
+async fn connect(at: SocketAddr, within: Duration) -> Result<SendRequest<Empty<Bytes>>, CallError> {
+    let stream = timeout(within, TcpStream::connect(at)).await.map_err(|_| CallError::Unreached)??;
     link_over(stream).await
 }
 
--- a/node/src/driver.rs
+++ b/node/src/driver.rs
@@ -275,7 +275,6 @@
     unmade: Vec<BackendId>,
     /// Attempts on a backend that has left the list meanwhile.
     moot: Vec<Ticket>,
-    ask: bool,
     rearm: bool,
 }
 
@@ -299,7 +298,6 @@
     driver: Rc<RefCell<Driver>>,
     launcher: Rc<dyn Launcher>,
     timer: Rc<Notify>,
-    asked: Rc<Notify>,
     clock: Clock,
 }
 
@@ -331,7 +329,7 @@
             whole_list: false,
         };
         let driver = Rc::new(RefCell::new(driver));
-        let node = Self { driver, launcher, timer: Rc::default(), asked: Rc::default(), clock };
+        let node = Self { driver, launcher, timer: Rc::default(), clock };
         node.tell(|driver, errands| driver.hear(Event::Start, errands));
         Ok(node)
     }
@@ -387,19 +385,14 @@
         Duration::from_nanos(driver.settings.classes.iter().map(|class| class.deadline).max().unwrap_or(0))
     }
 
-    /// Whether the site's discovery has to be asked.
-    pub fn asks_discovery(&self) -> bool {
-        self.driver.borrow().settings.discovery == Discovery::Asked
-    }
-
-    /// How this node's calls to discovery are spread.
+    /// How this node's calls to discovery are paced.
     pub fn discovery_pace(&self, seed: u64) -> Pace {
         let settings = &self.driver.borrow().settings;
         match settings.discovery {
             Discovery::Asked => {
-                Pace::new(settings.nodes, Duration::from_nanos(settings.rules.ask_within), seed)
+                Pace::shared(settings.nodes, Duration::from_nanos(settings.rules.ask_within), seed)
             }
-            _ => Pace::at_once(),
+            _ => Pace::own(Duration::from_nanos(settings.rules.drain_grace), seed),
         }
     }
 
@@ -465,11 +458,6 @@
         self.tell(|driver, errands| driver.hear(Event::FleetFailed, errands));
     }
 
-    /// Waits until the module asks for the watch or the list.
-    pub async fn discovery_wanted(&self) {
-        self.asked.notified().await;
-    }
-
     /// Whether the module wants the whole list next; asking takes the wish back.
     pub fn take_whole_list(&self) -> bool {
         std::mem::take(&mut self.driver.borrow_mut().whole_list)
@@ -503,9 +491,6 @@
         for ticket in errands.moot {
             self.settled(ticket, Ending::bare(Outcome::Moot));
         }
-        if errands.ask {
-            self.asked.notify_one();
-        }
         if errands.rearm {
             self.timer.notify_one();
         }
@@ -563,11 +548,9 @@
                 let _ = withdraw.map(|withdraw| withdraw.send(()));
             }
             Action::Probe { backend } => self.probe(backend, errands),
-            Action::Watch => errands.ask = true,
-            Action::Fetch => {
-                self.whole_list = true;
-                errands.ask = true;
-            }
+            // The watch goes on by itself, for ever.
+            Action::Watch => {}
+            Action::Fetch => self.whole_list = true,
             Action::Timer { after, token } => {
                 self.set_timer(self.clock.now().saturating_add(after), Due::Module(token), errands);
             }
