A client that leaves is seen to leave, whatever lies unread behind its request

The request went on: out of a connect, and to the next backend after one had turned it away.

Ruled out by the same tests on the old code: the leave itself with nothing behind (noticed at once), may_write (holds once the request has ended). At fault: node/src/server.rs, converse, which left reading to the parser alone. Change: while a request is open its connection's task reads ahead of the parser, up to 128 KiB, and ends with the client's side (tap.rs, Ahead).

Not seen still: a client that leaves with more than 128 KiB unread behind its request.

--- a/node/src/seats.rs
+++ b/node/src/seats.rs
@@ -10,7 +10,7 @@
 use tokio::sync::Notify;
 use tokio::time::{Instant, sleep, timeout};
 
-use crate::tap::{Ear, Tap};
+use crate::tap::{Ahead, Ear, Tap};
 
 /// A request is whole this long after its first byte, the first one of a connection this long after the
 /// connect: clients are owed an answer or a close within 3 s. Bytes that trickle in do not prolong it.
@@ -137,6 +137,11 @@
         self.enter(Stage::Open);
     }
 
+    /// Whether a request is owed its answer.
+    pub fn is_open(&self) -> bool {
+        self.stage.get() == Stage::Open
+    }
+
     /// Its answer goes out, and tells of a bad request or not.
     pub fn answering(&self, bad: bool) {
         self.told_off.set(bad);
@@ -300,7 +305,7 @@
     }
 }
 
-impl Tap<Clerk> {
+impl Tap<Clerk, Ahead> {
     /// Closes after the last answer: says that nothing more follows, and reads on for a while. A socket that
     /// is closed with bytes unread resets its connection, and the answer may never be seen.
     pub async fn leave(mut self) {
--- a/node/src/server.rs
+++ b/node/src/server.rs
@@ -1,7 +1,9 @@
 //! The clients' side: takes connections, reads requests, waits for each one's final answer and writes it.
 
 use std::convert::Infallible;
+use std::future::{Future, poll_fn};
 use std::pin::Pin;
+use std::task::Poll;
 use std::time::Duration;
 
 use brookfield::{Effect, Nanos};
@@ -21,7 +23,7 @@
 use crate::driver::{Asked, Call, Node, Reply};
 use crate::seats::{Clerk, Seat, Seated, Seats};
 use crate::sparing::Sparing;
-use crate::tap::{Tap, hurry};
+use crate::tap::{Ahead, Tap, hurry};
 use crate::upstream::MAX_BODY;
 
 /// Wait before the next accept after one failed: out of descriptors, the next would fail at once.
@@ -156,20 +158,31 @@
     let late = *phase.borrow() != Phase::Serving;
     let answers = phase.clone();
     let service = service_fn(|request| answer(&node, seat, request, &answers));
-    let line = TokioIo::new(Tap { stream, ear: Clerk::new(seat.clone()) });
+    let ahead = Ahead::new(stream);
+    let line = TokioIo::new(Tap { stream: ahead.clone(), ear: Clerk::new(seat.clone()) });
     let mut connection = http1::Builder::new().max_buf_size(MAX_HEAD).serve_connection(line, service);
-    let ended = tokio::select! {
-        biased;
-        result = &mut connection => Some(result),
-        _ = phase.wait_for(|phase| *phase >= Phase::Closing), if !late => None,
-    };
-    let result = match ended {
-        Some(result) => result,
-        None => {
+    let mut ending = std::pin::pin!(phase.wait_for(|phase| *phase >= Phase::Closing));
+    let (mut ends, mut told) = (false, false);
+    let result = poll_fn(|cx| {
+        loop {
+            // First: what has come is read before anything is closed.
+            if let Poll::Ready(result) = Pin::new(&mut connection).poll(cx) {
+                return Poll::Ready(Some(result));
+            }
+            if seat.is_open() && ahead.poll_left(cx).is_ready() {
+                return Poll::Ready(None);
+            }
+            ends = ends || (!late && ending.as_mut().poll(cx).is_ready());
+            if !ends || told {
+                return Poll::Pending;
+            }
+            told = true;
             Pin::new(&mut connection).graceful_shutdown();
-            (&mut connection).await
         }
-    };
+    })
+    .await;
+    // The client has left, and its request with it.
+    let Some(result) = result else { return Ok(()) };
     if result.is_err() || seat.told_off() {
         connection.into_parts().io.into_inner().leave().await;
     }
--- a/node/src/tap.rs
+++ b/node/src/tap.rs
@@ -1,12 +1,15 @@
 //! Listens in on connections: what the HTTP library does not tell, or not in time.
 
+use std::cell::RefCell;
 use std::io;
 use std::pin::Pin;
+use std::rc::Rc;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
+use bytes::BytesMut;
 use hyper::Request;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
@@ -83,14 +86,14 @@
 }
 
 /// A socket that is listened in on.
-pub struct Tap<E> {
+pub struct Tap<E, S = TcpStream> {
     /// The socket.
-    pub stream: TcpStream,
+    pub stream: S,
     /// The one who listens.
     pub ear: E,
 }
 
-impl<E: Ear + Unpin> AsyncRead for Tap<E> {
+impl<E: Ear + Unpin, S: AsyncRead + Unpin> AsyncRead for Tap<E, S> {
     fn poll_read(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
@@ -105,7 +108,7 @@
     }
 }
 
-impl<E: Ear + Unpin> AsyncWrite for Tap<E> {
+impl<E: Ear + Unpin, S: AsyncWrite + Unpin> AsyncWrite for Tap<E, S> {
     fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
         Pin::new(&mut self.stream).poll_write(cx, bytes)
     }
@@ -135,6 +138,78 @@
     }
 }
 
+/// So much is read ahead of a client's parser at most: no request is longer. A client that sends more behind an open request
+/// is not seen to leave.
+const AHEAD: usize = 128 * 1024;
+
+/// A client's socket that can be read ahead of the parser. With bytes lying behind a request the parser reads no further, and
+/// would not see that the client has left. Handles on one socket; all are used in one task.
+#[derive(Clone)]
+pub struct Ahead(Rc<RefCell<(TcpStream, BytesMut)>>);
+
+impl Ahead {
+    /// Nothing has been read yet.
+    pub fn new(stream: TcpStream) -> Self {
+        Self(Rc::new(RefCell::new((stream, BytesMut::new()))))
+    }
+
+    /// Reads on, and is ready once the client's side has ended or broken.
+    pub fn poll_left(&self, cx: &mut Context<'_>) -> Poll<()> {
+        let (stream, bytes) = &mut *self.0.borrow_mut();
+        let mut scrap = [0; 4096];
+        while bytes.len() < AHEAD {
+            let mut buffer = ReadBuf::new(&mut scrap);
+            match ready!(Pin::new(&mut *stream).poll_read(cx, &mut buffer)) {
+                Ok(()) if !buffer.filled().is_empty() => bytes.extend_from_slice(buffer.filled()),
+                Ok(()) | Err(_) => return Poll::Ready(()),
+            }
+        }
+        Poll::Pending
+    }
+}
+
+impl AsyncRead for Ahead {
+    fn poll_read(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let (stream, bytes) = &mut *self.0.borrow_mut();
+        if bytes.is_empty() {
+            return Pin::new(stream).poll_read(cx, buffer);
+        }
+        let part = bytes.len().min(buffer.remaining());
+        buffer.put_slice(&bytes.split_to(part));
+        Poll::Ready(Ok(()))
+    }
+}
+
+impl AsyncWrite for Ahead {
+    fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.0.borrow_mut().0).poll_write(cx, bytes)
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.0.borrow_mut().0).poll_flush(cx)
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.0.borrow_mut().0).poll_shutdown(cx)
+    }
+
+    fn poll_write_vectored(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        parts: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.0.borrow_mut().0).poll_write_vectored(cx, parts)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.0.borrow().0.is_write_vectored()
+    }
+}
+
 #[cfg(test)]
 pub(crate) mod tests {
     use super::*;
--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -120,6 +120,18 @@
         assert!(done.success());
     }
 
+    /// Sockets of the system towards this address that are up or on their way.
+    pub fn sockets_to(&self, at: SocketAddr) -> usize {
+        let table = std::fs::read_to_string(format!("/proc/{}/net/tcp", self.child.id())).unwrap();
+        let port = format!(":{:04X}", at.port());
+        // The third field is the other end, the fourth the state: 2 is a connect on its way.
+        let towards = |line: &&str| {
+            let fields: Vec<&str> = line.split_whitespace().collect();
+            fields.get(2).is_some_and(|to| to.ends_with(&port)) && fields.get(3) == Some(&"02")
+        };
+        table.lines().filter(towards).count()
+    }
+
     pub fn ask(&self, text: &str) -> Message {
         Client::to(self.at).ask(text).expect("an answer")
     }
--- a/rig/src/scripted.rs
+++ b/rig/src/scripted.rs
@@ -129,7 +129,11 @@
 impl Backend {
     /// One that does this with each request.
     pub fn new(does: impl Fn(&Message) -> Does + Send + Sync + 'static) -> Self {
-        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        Self::on(TcpListener::bind("127.0.0.1:0").unwrap(), does)
+    }
+
+    /// The same on a listener that is there.
+    pub fn on(listener: TcpListener, does: impl Fn(&Message) -> Does + Send + Sync + 'static) -> Self {
         let at = listener.local_addr().unwrap();
         let (send, got) = channel();
         let connections = Arc::new(AtomicU32::new(0));
@@ -191,6 +195,52 @@
     }
 }
 
+/// A listener whose queue is full: connections to it come up some time after it has been opened.
+pub struct Jam {
+    listener: TcpListener,
+    /// Those that fill the queue.
+    filling: Vec<TcpStream>,
+}
+
+impl Jam {
+    /// Fills the queue.
+    pub fn new() -> Self {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_io().build().unwrap();
+        let _inside = runtime.enter();
+        let socket = tokio::net::TcpSocket::new_v4().unwrap();
+        socket.bind("127.0.0.1:0".parse().unwrap()).unwrap();
+        let listener = socket.listen(1).unwrap().into_std().unwrap();
+        listener.set_nonblocking(false).unwrap();
+        let at = listener.local_addr().unwrap();
+        // One that found room would be up at once; one that did not tries again after a second at the earliest.
+        let filling = std::iter::from_fn(|| TcpStream::connect_timeout(&at, Duration::from_millis(300)).ok());
+        let filling = filling.collect();
+        Self { listener, filling }
+    }
+
+    /// Where it listens.
+    pub fn at(&self) -> SocketAddr {
+        self.listener.local_addr().unwrap()
+    }
+
+    /// How many connections fill the queue.
+    pub fn filling(&self) -> usize {
+        self.filling.len()
+    }
+
+    /// Lets all in that wait; from then on it is a backend.
+    pub fn open(self, does: impl Fn(&Message) -> Does + Send + Sync + 'static) -> Backend {
+        drop(self.filling);
+        Backend::on(self.listener, does)
+    }
+}
+
+impl Default for Jam {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
 /// Discovery: one list, and the answers to watches on it.
 #[derive(Clone)]
 pub struct Discovery {
