A request of which a part has come as the node ends is read to its end

Seen by reading, then by test: when idle connections are closed, 0.5 s after SIGTERM, a kept connection with a request half come in counted as idle with the parser (it takes a connection for busy from the whole head on), and was closed with the request's part. Its client can't know whether it was read. Ruled out: first requests of a connection (the parser never takes those for idle), requests whose head is whole. At fault: node/src/server.rs, converse, graceful_shutdown whatever stands on the seat. Change: it waits while the seat is arriving; the answer ends the connection. Test: endings.rs, four places to cut a request, fails in the first on the old code. With it: further signals, and the list followed to the end (both held before).

--- a/node/src/seats.rs
+++ b/node/src/seats.rs
@@ -137,6 +137,11 @@
         self.enter(Stage::Open);
     }
 
+    /// Whether a part of a request has come.
+    pub fn is_arriving(&self) -> bool {
+        self.stage.get() == Stage::Arriving
+    }
+
     /// Whether a request is owed its answer.
     pub fn is_open(&self) -> bool {
         self.stage.get() == Stage::Open
--- a/node/src/server.rs
+++ b/node/src/server.rs
@@ -173,7 +173,8 @@
                 return Poll::Ready(None);
             }
             ends = ends || (!late && ending.as_mut().poll(cx).is_ready());
-            if !ends || told {
+            // A request of which a part has come is read to its end, and its answer ends the connection.
+            if !ends || told || seat.is_arriving() {
                 return Poll::Pending;
             }
             told = true;
--- /dev/null
+++ b/node/tests/endings.rs
@@ -0,0 +1,91 @@
+//! SIGTERM at awkward instants: what has been taken is answered, and what has half come is read to its end.
+
+mod common;
+
+use std::net::TcpStream;
+use std::sync::Arc;
+
+use common::*;
+use serde_json::json;
+
+fn serving(body: &'static str) -> Backend {
+    Backend::new(move |_| Does::Writes(ok(body)))
+}
+
+/// A client whose connection stands idle.
+fn idle(node: &Node, id: &str) -> Client {
+    let mut client = Client::to(node.at);
+    assert_eq!(client.ask(&get(id, "")).expect("an answer").status(), 200);
+    client
+}
+
+fn told_to_end(node: &Node) {
+    node.signal("-TERM");
+    until("the node has heard", || node.logged("stops"));
+}
+
+/// Returns once the node takes no more connections.
+fn takes_no_more(node: &Node) {
+    until("the listener is gone", || TcpStream::connect(node.at).is_err());
+}
+
+/// A part of the request is there when idle connections are closed. The node closed that one too, and the client could not know
+/// whether its request had been read.
+#[test]
+fn a_request_of_which_a_part_has_come_is_read_to_its_end() {
+    let text = post("pay", "half", "", "stakes");
+    let ends = [1, 40, text.len() - 8, text.len() - 1];
+    for (n, end) in ends.into_iter().enumerate() {
+        let backend = serving("paid");
+        let (mut node, _discovery) = Node::with(&[&backend]);
+        let (mut bystander, mut client) = (idle(&node, "i0"), idle(&node, "i1"));
+        let (part, rest) = text.split_at(end);
+        client.write(part);
+        // The node reads what had come before it hears of the signal: an answer on the other connection is younger.
+        assert_eq!(bystander.ask(&get("i2", "")).expect("an answer").status(), 200);
+        told_to_end(&node);
+        assert!(bystander.read().is_none(), "idle connections are closed");
+        let answer = client.ask(rest).unwrap_or_else(|| panic!("case {n}: no answer"));
+        assert_eq!((answer.status(), answer.body.as_slice()), (200, b"paid".as_slice()), "case {n}");
+        assert!(client.read().is_none(), "the connection ends with its answer");
+        assert_eq!(node.child.wait().unwrap().code(), Some(0));
+    }
+}
+
+/// Other signals meanwhile change nothing: neither another SIGTERM nor a new configuration ends the node sooner or loses it a request.
+#[test]
+fn further_signals_do_not_cut_the_end_short() {
+    let gate = Arc::new(Gate::default());
+    let waits = gate.clone();
+    let backend = Backend::new(move |message| match message.value("x-call-id") {
+        Some("slow") => Does::Waits(waits.clone(), ok("slow")),
+        _ => Does::Writes(ok("yes")),
+    });
+    let (mut node, discovery) = Node::with(&[&backend]);
+    let mut slow = Client::to(node.at);
+    slow.write(&post("pay", "slow", "", ""));
+    assert_eq!(backend.next().value("x-call-id"), Some("slow"));
+    told_to_end(&node);
+    node.signal("-TERM");
+    node.reconfigure(&config(discovery.at, json!([])).to_string());
+    node.signal("-INT");
+    takes_no_more(&node);
+    node.signal("-TERM");
+    gate.open();
+    let answer = slow.read().expect("the slow one is answered");
+    assert_eq!((answer.status(), answer.body.as_slice()), (200, b"slow".as_slice()));
+    assert_eq!(node.child.wait().unwrap().code(), Some(0));
+}
+
+/// A node that ends goes on obeying drains.
+#[test]
+fn the_list_is_followed_while_the_node_ends() {
+    let (old, new) = (serving("old"), serving("new"));
+    let (mut node, discovery) = Node::with(&[&old]);
+    let mut kept = idle(&node, "k0");
+    told_to_end(&node);
+    discovery.set(json!([target("s-0", old.at, "Terminating"), target("s-1", new.at, "Ready")]));
+    discovery.watched_from(discovery.rev());
+    assert_eq!(kept.ask(&get("k1", "")).expect("an answer").body, b"new");
+    assert_eq!(node.child.wait().unwrap().code(), Some(0));
+}
