A keyed repeat is not written once backends no longer know its key

Seen by reading: the module keeps a keyed class's window when it chooses (ledger.rs, may_go_to), and the connect comes after: a repeat chosen just inside the window was written up to the connect limit past it. Ruled out: the first attempt's own connect (the window counts from its choice, so earlier than its bytes), attempts that never ran (they open no window). At fault: node/src/driver.rs, may_write, which asked for the request and the drain only. Change: it asks for the window as well, from the first attempt that may have run or is out.

--- a/node/src/driver.rs
+++ b/node/src/driver.rs
@@ -200,9 +200,23 @@
     not_after: Nanos,
     /// Attempts by number; none where settled.
     attempts: Vec<Option<Flight>>,
+    /// When the first of those that have ended and may have run was sent.
+    ran: Option<Nanos>,
+    /// How long after that backends still know it by its key, where the class has one.
+    window: Option<Nanos>,
     ended: bool,
 }
 
+impl Open {
+    /// Whether the backends would still know it for a repeat if it were written now, as the attempt of this number.
+    fn is_within_window(&self, attempt: u32, now: Nanos) -> bool {
+        let others = self.attempts.iter().zip(0..).filter(|(_, number)| *number != attempt);
+        let out = others.filter_map(|(flight, _)| flight.as_ref()).map(|flight| flight.since);
+        let first = out.chain(self.ran).min();
+        self.window.zip(first).is_none_or(|(window, first)| now < first.saturating_add(window))
+    }
+}
+
 struct Known {
     endpoint: SocketAddr,
     boot_ms: u64,
@@ -404,12 +418,14 @@
         Some(Waiting { node: self.clone(), request, answer })
     }
 
-    /// Whether an attempt may still be written: a connect can outlast its request, or the grace of a backend
-    /// that has begun to drain.
+    /// Whether an attempt may still be written: a connect can outlast its request, the time for which an earlier attempt's key
+    /// is known, or the grace of a backend that has begun to drain.
     pub fn may_write(&self, ticket: Ticket) -> bool {
         let driver = self.driver.borrow();
         let (now, grace) = (driver.clock.now(), driver.settings.rules.drain_grace);
-        let live = driver.requests.get(&ticket.request).is_some_and(|r| !r.ended && now < r.not_after);
+        let live = driver.requests.get(&ticket.request).is_some_and(|open| {
+            !open.ended && now < open.not_after && open.is_within_window(ticket.attempt, now)
+        });
         // Half the grace: telling began before the list was read here, and the bytes have a way to go.
         let open = driver.backends.get(&ticket.backend).is_some_and(|backend| {
             backend.draining_since.is_none_or(|since| now < since.saturating_add(grace / 2))
@@ -597,7 +613,12 @@
         self.next_request += 1;
         let not_after = self.clock.now().saturating_add(asked.budget);
         let (call, reply) = (Rc::new(asked.call), Some(reply));
-        let open = Open { reply, call, id: asked.id, not_after, attempts: Vec::new(), ended: false };
+        let window = match self.settings.classes.get(asked.class as usize).map(|class| class.effect) {
+            Some(Effect::Keyed { window, .. }) => Some(window),
+            _ => None,
+        };
+        let (attempts, ran) = (Vec::new(), None);
+        let open = Open { reply, call, id: asked.id, not_after, attempts, ran, window, ended: false };
         self.requests.insert(request, open);
         self.set_timer(not_after.saturating_add(BACKSTOP), Due::Backstop(request), errands);
         let arrival = Arrival {
@@ -699,6 +720,9 @@
         let Ticket { request, attempt, .. } = ticket;
         let Some(open) = self.requests.get_mut(&request) else { return };
         let Some(flight) = open.attempts.get_mut(attempt as usize).and_then(Option::take) else { return };
+        if ending.outcome.may_have_run() {
+            open.ran = open.ran.into_iter().chain([flight.since]).min();
+        }
         let elapsed = self.clock.now().saturating_sub(flight.since);
         if ending.outcome == Outcome::Served {
             self.finish(request, Reply::Served(ending.body));
@@ -823,6 +847,8 @@
     fn node(drain_grace: Nanos) -> (Node, Rc<Kept>) {
         let config = serde_json::json!({"az": "a", "zones": ["a"], "discovery": "pushed",
             "classes": [{"name": "pay", "effect": "once", "on-time-ns": 2_000_000_000u64,
+                "deadline-ns": 4_000_000_000u64},
+                {"name": "sale", "effect": "by_key", "key-scope": "all", "window-ns": WINDOW, "on-time-ns": 2_000_000_000u64,
                 "deadline-ns": 4_000_000_000u64}],
             "policy-limits": {"attempts-cap": 3}, "goal": {},
             "rules": {"answer-slack-ns": 20_000_000, "drain-grace-ns": drain_grace, "fall-ns": 1_500_000_000u64,
@@ -866,6 +892,29 @@
         }
     }
 
+    const WINDOW: Nanos = 60 * SECOND;
+
+    /// A connect can outlast the time for which backends know a key: written after it, a repeat would run twice.
+    #[test]
+    fn a_repeat_is_not_written_once_its_key_is_forgotten() {
+        for (outcome, known) in [(Outcome::Error, false), (Outcome::Reset, false), (Outcome::Full, true)] {
+            let (node, kept) = node(SECOND);
+            node.fleet(ListScope::Full, vec![listed("s", Stage::InService), listed("t", Stage::InService)]);
+            let _waiting = node.submit(Asked { class: 1, ..asked(2 * SECOND) }).expect("a new id");
+            let first = kept.launches.borrow_mut().pop().expect("an attempt");
+            assert!(node.may_write(first.ticket));
+            node.settled(first.ticket, Ending::bare(outcome));
+            let again = kept.launches.borrow_mut().pop().expect("another attempt");
+            assert!(node.may_write(again.ticket), "{outcome:?}: within the window");
+            // As if the connect had taken all of it.
+            let mut driver = node.driver.borrow_mut();
+            let open = driver.requests.get_mut(&again.ticket.request).expect("it is open");
+            open.ran = open.ran.map(|ran| ran - WINDOW);
+            drop(driver);
+            assert_eq!(node.may_write(again.ticket), known, "{outcome:?}: past the window");
+        }
+    }
+
     fn open_requests(node: &Node) -> (usize, usize) {
         let driver = node.driver.borrow();
         (driver.requests.len(), driver.balancer.open_requests())
