An older whole list takes no notice back, in the node as in the module

Seen by reading: src/notices.rs keeps a notice against whole lists that are older, but (1) the node's own note of a drain, which decides whether an attempt that was chosen before it may still be written, was taken back by any list's 'Ready'; and (2) a backend said to be gone lost its number, so that an older whole list brought it back as a new one, for which no notice was known. Ruled out: the module by itself (the simulator keeps ids; its tests hold). At fault: node/src/driver.rs, member (draining_since from the line alone) and fleet (ids forgotten at once). Change: after each list the node asks the module who is in service, and a number rests for the five minutes for which notices bind, 4,096 at most. Test: in driver.rs; fails for drains without the first half and for ends without the second.

--- a/node/src/driver.rs
+++ b/node/src/driver.rs
@@ -249,6 +249,42 @@
     }
 }
 
+/// A backend that has left keeps its number for this long: with it the module knows by what notice it left, and takes no older
+/// list's word that it is back.
+const NUMBER_RESTS: Nanos = 300_000_000_000;
+/// At most so many numbers rest; a fleet replaced many times over in five minutes loses the oldest.
+const NUMBERS_RESTING: usize = 4096;
+
+/// The numbers of backends that have left.
+#[derive(Default)]
+struct Departed {
+    numbers: HashMap<String, (Nanos, BackendId)>,
+    /// In the order in which they left; some have come again since.
+    order: VecDeque<(Nanos, String)>,
+}
+
+impl Departed {
+    fn push(&mut self, uid: String, id: BackendId, now: Nanos) {
+        while let Some((at, _)) = self.order.front()
+            && (now.saturating_sub(*at) >= NUMBER_RESTS || self.order.len() >= NUMBERS_RESTING)
+            && let Some((at, uid)) = self.order.pop_front()
+        {
+            // One that came and left again stands further back as well.
+            if self.numbers.get(&uid).is_some_and(|(left, _)| *left == at) {
+                self.numbers.remove(&uid);
+            }
+        }
+        self.order.push_back((now, uid.clone()));
+        self.numbers.insert(uid, (now, id));
+    }
+
+    /// The number of one that comes again.
+    fn take(&mut self, uid: &str, now: Nanos) -> Option<BackendId> {
+        let (at, id) = self.numbers.remove(uid)?;
+        (now.saturating_sub(at) < NUMBER_RESTS).then_some(id)
+    }
+}
+
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum Due {
     Module(u64),
@@ -266,6 +302,7 @@
     next_request: u64,
     ids: HashMap<String, BackendId>,
     backends: HashMap<BackendId, Known>,
+    departed: Departed,
     next_backend: u32,
     timers: BTreeSet<(Nanos, Due)>,
     /// The probe out to each backend; one at most.
@@ -334,6 +371,7 @@
             next_request: 0,
             ids: HashMap::new(),
             backends: HashMap::new(),
+            departed: Departed::default(),
             next_backend: 0,
             timers: BTreeSet::new(),
             probes: HashMap::new(),
@@ -763,6 +801,13 @@
         );
         let members = list.into_iter().filter_map(|listed| self.member(listed, now, errands)).collect();
         self.hear(Event::Fleet { scope, members }, errands);
+        // A whole list can be older than the notice that a backend leaves: the module tells which of them binds.
+        for (id, known) in &mut self.backends {
+            known.draining_since = match self.balancer.is_in_service(*id) {
+                true => None,
+                false => known.draining_since.or(Some(now)),
+            };
+        }
         // What an earlier life, or an earlier address, would still answer is of no use.
         let retired = errands.retired.clone();
         for backend in retired
@@ -773,11 +818,11 @@
                 self.unprobed(backend, errands);
             }
         }
-        // Under its name a backend that has gone may come again: as a new one, since its number is not kept.
         for uid in left {
             if let Some(id) = self.ids.remove(&uid) {
                 self.backends.remove(&id);
                 errands.retired.push(id);
+                self.departed.push(uid, id, now);
             }
         }
     }
@@ -788,15 +833,15 @@
             Some(&id) => id,
             None if gone => return None,
             None => {
-                let id = BackendId(self.next_backend);
-                self.next_backend += 1;
+                let id = self.departed.take(&listed.uid, now).unwrap_or(BackendId(self.next_backend));
+                self.next_backend = self.next_backend.max(id.0 + 1);
                 self.ids.insert(listed.uid, id);
                 id
             }
         };
         let draining = listed.stage != Stage::InService;
         let before = self.backends.get(&id);
-        let draining_since = draining.then(|| before.and_then(|b| b.draining_since).unwrap_or(now));
+        let draining_since = before.and_then(|b| b.draining_since).or(draining.then_some(now));
         let moved = |b: &Known| b.endpoint != listed.endpoint || b.boot_ms != listed.boot_ms;
         if draining || before.is_some_and(moved) {
             errands.retired.push(id);
@@ -972,6 +1017,35 @@
         }
     }
 
+    /// A whole list can be older than the notice of a drain or an end that came before it. An attempt chosen before the notice
+    /// and still in its connect was written then, however long after; and one said to be gone came back under another number,
+    /// for which no notice was known, and was sent to.
+    #[test]
+    fn an_older_whole_list_takes_no_notice_back() {
+        for stage in [Stage::Draining, Stage::Gone] {
+            let (node, kept) = node(0);
+            node.fleet(ListScope::Full, vec![listed("s", Stage::InService)]);
+            let _waiting = node.submit(asked(SECOND)).expect("a new id");
+            let launch = kept.launches.borrow_mut().pop().expect("an attempt");
+            assert!(node.may_write(launch.ticket), "{stage:?}: nothing has been said yet");
+            node.fleet(ListScope::Changes, vec![listed("s", stage)]);
+            node.fleet(ListScope::Full, vec![listed("s", Stage::InService)]);
+            assert!(!node.may_write(launch.ticket), "{stage:?}: the notice binds");
+            assert!(
+                !node.serves_at(launch.backend, launch.endpoint),
+                "{stage:?}: its connections are not kept"
+            );
+            let _other = node.submit(asked(SECOND)).expect("a new id");
+            assert!(kept.launches.borrow().is_empty(), "{stage:?}: nothing new");
+            // A later start ends the notice.
+            let boot_ms = node.clock().now() / 1_000_000 - 60_000;
+            node.fleet(ListScope::Full, vec![Listed { boot_ms, ..listed("s", Stage::InService) }]);
+            let _third = node.submit(asked(SECOND)).expect("a new id");
+            let launch = kept.launches.borrow_mut().pop().expect("an attempt at the new life");
+            assert!(node.may_write(launch.ticket), "{stage:?}");
+        }
+    }
+
     /// The attempt never ends, so the module has nothing to go by: the driver answers at the client's end.
     #[test]
     fn a_request_that_the_module_leaves_open_fails_at_its_end() {
@@ -1034,6 +1108,8 @@
         assert_eq!(names, driver.names.ended.len() + driver.requests.len());
         assert!(names <= IDS_RESTING + 1 + driver.requests.len(), "{names}");
         assert_eq!((driver.ids.len(), driver.backends.len()), (0, 0));
+        let departed = (driver.departed.numbers.len(), driver.departed.order.len());
+        assert!(departed.0 <= NUMBERS_RESTING && departed.1 <= NUMBERS_RESTING, "{departed:?}");
         assert!(driver.requests.len() <= 1, "{} requests", driver.requests.len());
     }
 }
--- a/src/view.rs
+++ b/src/view.rs
@@ -193,6 +193,11 @@
 }
 
 impl Balancer {
+    /// Whether a backend takes requests, by the lists and the notices that bind against them.
+    pub fn is_in_service(&self, backend: BackendId) -> bool {
+        self.backends.get(&backend).is_some_and(|backend| backend.member.stage == Stage::InService)
+    }
+
     /// The backends of the list as this node sees them now, by id.
     pub fn backend_figures(&self, now: Nanos) -> Vec<BackendFigures> {
         let figures = |(id, backend): (&BackendId, &Backend)| BackendFigures {
