Waits after failed calls to discovery follow from what the settings ask

Seen by reading: AGAIN_ASKED (0.3 to 4.8 s) was chosen for a site that must ask every 10 s. Where every second is asked, a node's waits after failures came to 6.5 s and more, and it is held to its list for four seconds. Change: both are bounded by half of the settings' time, as the span of the full jitter is. At 10 s nothing changes. Test: pace.rs, four periods and three fleets; fails without the bound at 1 s and 3 s.

--- a/node/src/pace.rs
+++ b/node/src/pace.rs
@@ -74,7 +74,9 @@
     pub fn shared(nodes: u32, within: Duration, seed: u64) -> Self {
         let most = within / 2;
         let span = (EACH * nodes.saturating_sub(1)).min(most);
-        Self::new(HOLD_ASKED, AGAIN_ASKED, span, most, seed)
+        // A node whose call has failed is held to its list for four times `within`: it must have tried again by then.
+        let again = (AGAIN_ASKED.0.min(most), AGAIN_ASKED.1.min(most));
+        Self::new(HOLD_ASKED, again, span, most, seed)
     }
 
     /// For a discovery of the node's own. It is tried often enough that a list it has at its return is here well within
@@ -286,6 +288,18 @@
         (0..100).map(|_| pace.pause(now)).max().unwrap_or_default()
     }
 
+    /// However often a node must ask: it has asked again within what its list is good for.
+    #[test]
+    fn failed_calls_are_made_again_within_what_the_settings_ask() {
+        for within in [SECOND, 3 * SECOND, WITHIN, 60 * SECOND] {
+            for nodes in [1, 3, 300] {
+                let mut pace = Pace::shared(nodes, within, 5);
+                (0..30).for_each(|_| pace.failed(Failure::Broken));
+                assert!(longest_pause(&mut pace) <= within * 5 / 4, "{within:?}, {nodes}");
+            }
+        }
+    }
+
     /// A call for the whole list does not wait at discovery, so that its silence counts sooner than a watch's.
     #[test]
     fn a_silent_call_for_the_whole_list_is_given_up_with_time_for_another() {
