--- a/node/tests/life.rs
+++ b/node/tests/life.rs
@@ -4,6 +4,7 @@
 
 use std::io::Read;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::thread;
 
 use common::*;
@@ -188,6 +189,34 @@
     assert_eq!(last.join().unwrap(), 200);
 }
 
+/// With all seats taken, all connections to backends out and discovery gone silent the node stays within its descriptors: what it
+/// was given is what the system refuses more than.
+#[test]
+fn a_node_that_is_full_stays_within_its_descriptors() {
+    for sockets in [32, 64, 256] {
+        let gate = Arc::new(Gate::default());
+        let waits = gate.clone();
+        let backend = Backend::new(move |_| Does::Waits(waits.clone(), ok("late")));
+        let mut config = config(nowhere(), json!([target("s-0", backend.at, "Ready")]));
+        config["limits"]["sockets"] = json!(sockets);
+        config["settings"]["n-instances"] = json!(1);
+        let node = Node::start(&config);
+        let mut most = 0;
+        let mut clients = Vec::new();
+        for n in 0..sockets {
+            let mut client = Client::to(node.at);
+            client.write(&post("pay", &format!("d{n}"), "", ""));
+            clients.push(client);
+            most = most.max(std::fs::read_dir(format!("/proc/{}/fd", node.child.id())).unwrap().count());
+        }
+        until("requests are out", || backend.connections.load(Ordering::SeqCst) > 0);
+        most = most.max(std::fs::read_dir(format!("/proc/{}/fd", node.child.id())).unwrap().count());
+        assert!(most <= sockets, "{most} of {sockets}");
+        assert!(most > sockets / 4, "{most} of {sockets}: it was never full");
+        gate.open();
+    }
+}
+
 /// The watch moves at once, and versions of the old address mean nothing at the new one.
 #[test]
 fn sighup_moves_the_watch_to_another_discovery() {
