A node's own descriptors come off before clients and backends share the rest

Seen: the test of a full node, run with others beside it, counted 38 descriptors of 32 (its first form had passed by chance: it looked once). Ruled out: connections given up and not closed (three at most there), probes (one). At fault: node/src/lib.rs, which took half and three eighths of all. Change: sixteen for the node's own come off first, and backends get a third with a ninth of slack inside the three eighths; where few are allowed two may close at a time (upstream.rs; a second connection was refused otherwise).

--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -37,6 +37,9 @@
 /// Connections that cross the closing of idle ones are taken up to here after that.
 const LAST_ONES: Duration = Duration::from_millis(100);
 const BACKLOG: u32 = 1024;
+/// Three standard streams, the runtime's three and two for signals, the listener, a client that waits for its seat, discovery (two
+/// while it moves), the configuration as it is read anew; and some to spare.
+const OWN_DESCRIPTORS: usize = 16;
 
 /// What the node is told at its start.
 #[derive(Deserialize)]
@@ -154,12 +157,14 @@
     let hangup = signal(SignalKind::hangup())?;
     let site = brookfield_settings::read(&config.settings).map_err(StartError::Settings)?;
     let seed = u64::from_str_radix(&config.seed, 16).map_err(|_| StartError::Seed(config.seed.clone()))?;
-    // Half the descriptors are for clients, three eighths for backends; the rest is slack and the node's own.
+    // Beside the node's own, half the descriptors are for clients and three eighths for backends, of which a ninth are connections
+    // that have been given up and are not closed yet; the rest is for probes, and slack.
     let sockets = config.limits.sockets;
-    if sockets < 32 {
+    if sockets < 2 * OWN_DESCRIPTORS {
         return Err(StartError::Sockets(sockets));
     }
-    let (clients, backends) = (sockets / 2, sockets * 3 / 8);
+    let sockets = sockets - OWN_DESCRIPTORS;
+    let (clients, backends) = (sockets / 2, sockets / 3);
     let clock = Clock::start();
     let told = what_is_told(&site.settings);
     // Probes have a few of their own: they come out of the slack, never out of what requests need.
--- a/node/src/upstream.rs
+++ b/node/src/upstream.rs
@@ -296,7 +296,8 @@
         if self.open.get() >= self.most {
             self.drop_oldest();
         }
-        if self.open.get() >= self.most + self.most / 8 {
+        // One that was dropped is closed a moment later, by its own task.
+        if self.open.get() >= self.most + (self.most / 8).max(2) {
             return None;
         }
         let limit = Duration::from_nanos(self.links.connect_timeout);
