--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -40,10 +40,7 @@
             Event::Settled(settlement) => self.settle(settlement, actions),
             Event::Started { request } => self.stand(request, Phase::Streaming),
             Event::Probed { backend, outcome, report, .. } => self.probed(backend, outcome, report, actions),
-            Event::ClientGone { request } => {
-                self.cancel_rest(request, actions);
-                self.forget(request);
-            }
+            Event::ClientGone { request } => self.forget(request),
             Event::Timer { .. } => self.housekeeping(actions),
         }
         self.probe(actions);
