--- a/node/tests/leaving.rs
+++ b/node/tests/leaving.rs
@@ -67,7 +67,7 @@
 #[test]
 fn a_request_between_two_attempts_goes_no_further_once_its_client_has_left() {
     for (n, behind) in behind().into_iter().enumerate() {
-        for leaves in [false, true] {
+        for leaves in [None, Some(Client::reset as fn(Client)), Some(drop)] {
             let gate = Arc::new(Gate::default());
             let backends = [gate.clone(), gate.clone()].map(|gate| {
                 let seen = AtomicBool::new(false);
@@ -91,8 +91,8 @@
                 got
             };
             ids(1);
-            if leaves {
-                drop(client);
+            if let Some(leave) = leaves {
+                leave(client);
                 thread::sleep(UNTIL);
                 gate.open();
                 // Another one's answer comes after whatever the first one's end has set off.
--- a/rig/src/scripted.rs
+++ b/rig/src/scripted.rs
@@ -397,6 +397,11 @@
         self.writer.try_clone().unwrap()
     }
 
+    /// Ends the connection with a reset.
+    pub fn reset(self) {
+        socket2::SockRef::from(&self.writer).set_linger(Some(Duration::ZERO)).unwrap();
+    }
+
     /// Writes this as it is.
     pub fn write(&mut self, text: &str) {
         self.writer.write_all(text.as_bytes()).unwrap();
