--- a/node/tests/endings.rs
+++ b/node/tests/endings.rs
@@ -113,6 +113,25 @@
     assert_eq!(node.child.wait().unwrap().code(), Some(0));
 }
 
+/// SIGTERM in the process's first moment, before or after it heeds signals: it ends, and hangs in nothing that it has begun.
+#[test]
+fn a_signal_before_the_node_is_ready_ends_it() {
+    for _ in 0..20 {
+        let (mut child, _) = spawn(&config("127.0.0.1:9".parse().unwrap(), json!([])).to_string());
+        let pid = child.id().to_string();
+        assert!(std::process::Command::new("kill").args(["-TERM", &pid]).status().unwrap().success());
+        let mut status = None;
+        until("it ends", || {
+            status = child.try_wait().unwrap();
+            status.is_some()
+        });
+        let status = status.expect("it has ended");
+        // Heeded it ends well; before that the system ends it.
+        let ended = status.code().or(std::os::unix::process::ExitStatusExt::signal(&status));
+        assert!([Some(0), Some(15)].contains(&ended), "{status:?}");
+    }
+}
+
 /// A node that ends goes on obeying drains.
 #[test]
 fn the_list_is_followed_while_the_node_ends() {
