--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -144,6 +144,11 @@
     }
 }
 
+/// A backend that serves all with this body.
+pub fn serving(body: &'static str) -> Backend {
+    Backend::new(move |_| Does::Writes(ok(body)))
+}
+
 pub fn get(id: &str, more: &str) -> String {
     format!(
         "GET /api?x=1 HTTP/1.1\r\nHost: origin.svc\r\nX-Call-Id: {id}\r\nX-Call-Class: read\r\nX-Caller: acme\r\n\
--- a/node/tests/crossings.rs
+++ b/node/tests/crossings.rs
@@ -10,10 +10,6 @@
 use common::*;
 use serde_json::{Value, json};
 
-fn serving(body: &'static str) -> Backend {
-    Backend::new(move |_| Does::Writes(ok(body)))
-}
-
 /// A node before this list, with so much time for a connect and so much grace for drains.
 fn before(targets: Value, connect_ms: u64, grace_ms: u64) -> (Node, Discovery) {
     let discovery = Discovery::new(targets);
--- a/node/tests/endings.rs
+++ b/node/tests/endings.rs
@@ -9,10 +9,6 @@
 use common::*;
 use serde_json::json;
 
-fn serving(body: &'static str) -> Backend {
-    Backend::new(move |_| Does::Writes(ok(body)))
-}
-
 /// A client whose connection stands idle.
 fn idle(node: &Node, id: &str) -> Client {
     let mut client = Client::to(node.at);
--- a/node/tests/life.rs
+++ b/node/tests/life.rs
@@ -10,10 +10,6 @@
 use common::*;
 use serde_json::json;
 
-fn serving(body: &'static str) -> Backend {
-    Backend::new(move |_| Does::Writes(ok(body)))
-}
-
 /// An address at which nobody listens.
 fn nowhere() -> std::net::SocketAddr {
     std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
--- a/node/tests/silence.rs
+++ b/node/tests/silence.rs
@@ -11,10 +11,6 @@
 const TOLD: Duration = Duration::from_secs(6);
 const TOLD_MOVED: Duration = Duration::from_secs(4);
 
-fn serving(body: &'static str) -> Backend {
-    Backend::new(move |_| Does::Writes(ok(body)))
-}
-
 fn replaced(old: &Backend, new: &Backend) -> Value {
     json!([target("s-0", old.at, "Terminating"), target("s-1", new.at, "Ready")])
 }
