--- a/node/src/pace.rs
+++ b/node/src/pace.rs
@@ -75,7 +75,9 @@
         let most = within / 2;
         let span = (EACH * nodes.saturating_sub(1)).min(most);
         // A node whose call has failed is held to its list for four times `within`: it must have tried again by then.
-        let again = (AGAIN_ASKED.0.min(most), AGAIN_ASKED.1.min(most));
+        // Even where every moment is asked there is a pause: a call that is turned away at once must not make a tight loop.
+        let again =
+            (AGAIN_ASKED.0.min(most).max(AGAIN_PUSHED.0), AGAIN_ASKED.1.min(most).max(AGAIN_PUSHED.0));
         Self::new(HOLD_ASKED, again, span, most, seed)
     }
 
@@ -300,6 +302,18 @@
         }
     }
 
+    /// Settings that ask at every moment, and discovery turns each call away.
+    #[test]
+    fn failed_calls_make_no_tight_loop_however_often_the_settings_ask() {
+        for within in [NONE, Duration::from_millis(1), SECOND / 20] {
+            let mut pace = Pace::shared(300, within, 5);
+            for _ in 0..100 {
+                pace.failed(Failure::Broken);
+                assert!(pace.pause(NONE) >= AGAIN_PUSHED.0 / 2, "{within:?}");
+            }
+        }
+    }
+
     /// A call for the whole list does not wait at discovery, so that its silence counts sooner than a watch's.
     #[test]
     fn a_silent_call_for_the_whole_list_is_given_up_with_time_for_another() {
