--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -9,6 +9,7 @@
 mod lab;
 mod rollout;
 mod sockets;
+mod system;
 
 use std::io::IsTerminal;
 use std::process::ExitCode;
@@ -57,6 +58,11 @@
 }
 
 fn main() -> ExitCode {
+    // The roles of the system, apart: they have one argument, and start where nobody reads help.
+    let arguments: Vec<String> = std::env::args().skip(1).collect();
+    if let Some(ended) = system::role(&arguments) {
+        return ended;
+    }
     match Cli::parse().command {
         Command::Demo(demo) => sockets::demo(&demo),
         Command::Lab(lab) => lab::run(lab),
--- /dev/null
+++ b/control/src/feed.rs
@@ -0,0 +1,85 @@
+//! What followers are told: the configuration and the evacuations as they are decided, with some of the changes that led there.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use ivyhatch_protocol::configuration::{Change, Document};
+use ivyhatch_protocol::feed::{Evacuations, Position, ToFollower};
+use ivyhatch_protocol::ids::Part;
+
+use crate::state::State;
+
+/// Changes of the configuration that are kept for those who are behind.
+const KEPT: usize = 64;
+/// A change with more items than this share of the whole is told as the whole.
+const WHOLE_SHARE: usize = 2;
+
+/// What is decided, for those who follow.
+#[derive(Debug, Default)]
+pub struct Feed {
+    sequence: u64,
+    document: Document,
+    changes: VecDeque<(u64, u64, Change)>,
+    evacuations: BTreeMap<Part, Evacuations>,
+}
+
+impl Feed {
+    /// Takes a decision in.
+    pub fn decided(&mut self, part: Part, sequence: u64, state: &State) {
+        match state {
+            State::Configured(configured) => self.configured(sequence, configured.document.clone()),
+            State::Evacuated(evacuated) => {
+                let zone = |(zone, (active, changes)): (&String, &(bool, u64))| (zone.clone(), *active, *changes);
+                let zones = evacuated.zones.iter().map(zone).collect();
+                self.evacuations.insert(part, Evacuations { part, sequence, zones });
+            }
+        }
+    }
+
+    fn configured(&mut self, sequence: u64, document: Document) {
+        if sequence <= self.sequence {
+            return;
+        }
+        if self.sequence > 0 {
+            self.changes.push_back((self.sequence, sequence, self.document.change_to(&document)));
+        }
+        while self.changes.len() > KEPT {
+            self.changes.pop_front();
+        }
+        (self.sequence, self.document) = (sequence, document);
+    }
+
+    /// The configuration.
+    pub fn document(&self) -> &Document {
+        &self.document
+    }
+
+    /// How far it is; `servers` is filled in by others.
+    pub fn position(&self) -> Position {
+        let evacuations = self.evacuations.values().map(|part| (part.part, part.sequence)).collect();
+        Position { configuration: self.sequence, evacuations, ..Position::default() }
+    }
+
+    /// What is newer than a follower's position.
+    pub fn since(&self, position: &Position) -> Vec<ToFollower> {
+        let mut news = Vec::new();
+        if self.sequence > position.configuration {
+            let first = self.changes.iter().position(|(from, ..)| *from == position.configuration);
+            let items = |change: &Change| change.upsert.values().map(Vec::len).sum::<usize>();
+            let all: usize = self.document.sections.values().map(Vec::len).sum();
+            let changes = first.map(|first| self.changes.iter().skip(first));
+            match changes.filter(|all_changes| {
+                all_changes.clone().map(|(_, _, change)| items(change)).sum::<usize>() * WHOLE_SHARE <= all
+            }) {
+                Some(changes) => news.extend(changes.map(|(from, to, change)| ToFollower::Change {
+                    from: *from,
+                    to: *to,
+                    change: change.clone(),
+                })),
+                None => news.push(ToFollower::Whole { sequence: self.sequence, document: self.document.clone() }),
+            }
+        }
+        let newer = |part: &&Evacuations| part.sequence > position.evacuations_of(part.part);
+        news.extend(self.evacuations.values().filter(newer).cloned().map(ToFollower::Evacuations));
+        news
+    }
+}
--- /dev/null
+++ b/control/src/routers.rs
@@ -0,0 +1,88 @@
+//! The routers: a router is there while its session with a control node stands. Control nodes tell each other their sessions, so
+//! that each knows of all routers.
+
+use std::collections::BTreeMap;
+
+use ivyhatch_protocol::feed::{Router, RouterState};
+use ivyhatch_protocol::ids::NodeId;
+use ivyhatch_protocol::{MILLISECOND, Nanos, SECOND};
+
+/// A router that has said nothing for so long is not where clients are sent: three of its beats.
+pub const SILENT: Nanos = 1500 * MILLISECOND;
+/// What another control node has told of its sessions counts for so long after it was last heard.
+const TOLD: Nanos = 3 * SECOND;
+/// The directory names no more.
+pub const MOST_ADDRESSES: usize = 64;
+
+/// All routers that are known of.
+#[derive(Debug, Default)]
+pub struct Routers {
+    own: BTreeMap<NodeId, (Router, Nanos)>,
+    told: BTreeMap<NodeId, (Vec<Router>, Nanos)>,
+}
+
+impl Routers {
+    /// A router has been heard on its session. Whether anything of it has changed.
+    pub fn heard(&mut self, now: Nanos, router: Router) -> bool {
+        let before = self.own.insert(router.node, (router.clone(), now));
+        before.is_none_or(|(before, at)| before != router || now >= at + SILENT)
+    }
+
+    /// A session has ended.
+    pub fn ended(&mut self, node: NodeId) -> bool {
+        self.own.remove(&node).is_some()
+    }
+
+    /// Drops sessions that have said nothing for too long. Whether there were any.
+    pub fn drop_silent(&mut self, now: Nanos) -> bool {
+        let before = self.own.len();
+        self.own.retain(|_, (_, at)| now < *at + SILENT);
+        self.told.retain(|_, (_, at)| now < *at + TOLD);
+        self.own.len() != before
+    }
+
+    /// Another control node tells of its sessions.
+    pub fn tell(&mut self, now: Nanos, from: NodeId, routers: Vec<Router>) {
+        self.told.insert(from, (routers, now));
+    }
+
+    /// Another control node is there.
+    pub fn alive(&mut self, now: Nanos, from: NodeId) {
+        if let Some((_, at)) = self.told.get_mut(&from) {
+            *at = now;
+        }
+    }
+
+    /// The sessions that stand here.
+    pub fn own(&self) -> Vec<Router> {
+        self.own.values().map(|(router, _)| router.clone()).collect()
+    }
+
+    /// All routers. Where two tell of one, its own session goes first, then the state that is further on.
+    fn all(&self) -> BTreeMap<NodeId, &Router> {
+        let mut all: BTreeMap<NodeId, &Router> = BTreeMap::new();
+        for router in self.told.values().flat_map(|(routers, _)| routers) {
+            let known = all.entry(router.node).or_insert(router);
+            if router.state > known.state {
+                *known = router;
+            }
+        }
+        all.extend(self.own.iter().map(|(node, (router, _))| (*node, router)));
+        all
+    }
+
+    /// How many there are.
+    pub fn count(&self) -> usize {
+        self.all().len()
+    }
+
+    /// Where a client of this zone and region should go: to the routers of its region, or to all where that has none.
+    pub fn near(&self, region: &str) -> Vec<String> {
+        let all = self.all();
+        let ready: Vec<&&Router> = all.values().filter(|router| router.state == RouterState::Ready).collect();
+        let near = |router: &&&&Router| router.region == region;
+        let count = ready.iter().filter(near).count();
+        let chosen = ready.iter().filter(|router| count == 0 || near(router));
+        chosen.map(|router| router.front.clone()).take(MOST_ADDRESSES).collect()
+    }
+}
--- /dev/null
+++ b/control/src/state.rs
@@ -0,0 +1,143 @@
+//! What the parts hold, and what an order does to them.
+
+use std::collections::BTreeMap;
+
+use ivyhatch_protocol::configuration::{Change, ConfigurationError, Document};
+use ivyhatch_protocol::ids::{Part, hash};
+use ivyhatch_protocol::peer::{Answer, Order};
+use speedy::{Readable, Writable};
+
+/// Orders that were taken are remembered for so many versions: one that is sent again unchanged has been taken, also when it is no
+/// longer the newest.
+const REMEMBERED: usize = 64;
+
+/// What becomes of an order.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// It changes nothing.
+    Answer(Answer),
+    /// Once the part is set to this, the answer goes out.
+    Set(Vec<u8>, Answer),
+    /// The newest configuration is to be told, by one that is sure to be the owner.
+    Tell,
+}
+
+/// The part that holds the configuration.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Readable, Writable)]
+pub struct Configured {
+    /// The configuration.
+    pub document: Document,
+    /// Digests of the orders that led to it, the newest last.
+    pub taken: Vec<u64>,
+}
+
+/// The parts that keys fall into.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Readable, Writable)]
+pub struct Evacuated {
+    /// Zones that were ever evacuated: whether they are now, and how often that has changed.
+    pub zones: BTreeMap<String, (bool, u64)>,
+}
+
+/// What a part holds.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum State {
+    /// The configuration.
+    Configured(Configured),
+    /// Evacuations.
+    Evacuated(Evacuated),
+}
+
+/// A digest by which an order is known again.
+pub fn digest(order: &Order) -> u64 {
+    match order {
+        Order::Put { base, body } => hash(body) ^ base.rotate_left(17),
+        Order::Patch { base, body } => !(hash(body) ^ base.rotate_left(17)),
+        Order::Read => 0,
+        Order::Evacuate { zone, active } => hash(zone.as_bytes()) ^ u64::from(*active),
+    }
+}
+
+impl State {
+    /// What a part holds at first.
+    pub fn empty(part: Part) -> Self {
+        match part {
+            Part::CONFIGURATION => Self::Configured(Configured::default()),
+            _ => Self::Evacuated(Evacuated::default()),
+        }
+    }
+
+    /// Reads what a part was set to. None for what no version of this program has written.
+    pub fn read(part: Part, value: &[u8]) -> Option<Self> {
+        match part {
+            Part::CONFIGURATION => Configured::read_from_buffer(value).ok().map(Self::Configured),
+            _ => Evacuated::read_from_buffer(value).ok().map(Self::Evacuated),
+        }
+    }
+
+    /// What an order does. Decided by the part's owner, once.
+    pub fn decide(&self, order: &Order) -> Verdict {
+        match (self, order) {
+            (Self::Configured(configured), Order::Put { base, body }) => {
+                configured.decide(*base, digest(order), |_| Document::read(body))
+            }
+            (Self::Configured(configured), Order::Patch { base, body }) => {
+                configured.decide(*base, digest(order), |current| Ok(current.with(&Change::read(body)?)))
+            }
+            (Self::Configured(_), Order::Read) => Verdict::Tell,
+            (Self::Evacuated(evacuated), Order::Evacuate { zone, active }) => {
+                evacuated.decide(zone, *active)
+            }
+            _ => Verdict::Answer(Answer::Invalid("this part does not hold that".to_owned())),
+        }
+    }
+}
+
+impl Configured {
+    fn decide(
+        &self,
+        base: u64,
+        digest: u64,
+        read: impl FnOnce(&Document) -> Result<Document, ConfigurationError>,
+    ) -> Verdict {
+        let revision = self.document.revision;
+        if self.taken.contains(&digest) {
+            return Verdict::Answer(Answer::Taken { revision });
+        }
+        if base != revision {
+            return Verdict::Answer(Answer::Conflict { revision });
+        }
+        let document = match read(&self.document) {
+            Ok(document) => document,
+            Err(error) => return Verdict::Answer(Answer::Invalid(error.to_string())),
+        };
+        if let Err(error) = document.checked(revision) {
+            return Verdict::Answer(Answer::Invalid(error.to_string()));
+        }
+        let answer = Answer::Taken { revision: document.revision };
+        let mut taken = self.taken.clone();
+        taken.push(digest);
+        let surplus = taken.len().saturating_sub(REMEMBERED);
+        taken.drain(..surplus);
+        set(&Self { document, taken }, answer)
+    }
+}
+
+impl Evacuated {
+    fn decide(&self, zone: &str, active: bool) -> Verdict {
+        let answer = Answer::Taken { revision: 0 };
+        let (is, changes) = self.zones.get(zone).copied().unwrap_or_default();
+        if is == active {
+            return Verdict::Answer(answer);
+        }
+        let mut changed = self.clone();
+        changed.zones.insert(zone.to_owned(), (active, changes + 1));
+        set(&changed, answer)
+    }
+}
+
+fn set<S: Writable<speedy::LittleEndian>>(state: &S, answer: Answer) -> Verdict {
+    match state.write_to_vec() {
+        Ok(value) => Verdict::Set(value, answer),
+        Err(error) => Verdict::Answer(Answer::Unsure(error.to_string())),
+    }
+}
--- a/lab/src/reference.rs
+++ b/lab/src/reference.rs
@@ -116,7 +116,7 @@
             Event::Request(arrival) => self.arrive(now, arrival, servers, actions),
             Event::Settled(settled) => self.settle(now, settled, servers, actions),
             Event::ClientGone { request } => drop(self.open.remove(&request)),
-            Event::Probed { .. } | Event::Started { .. } | Event::Timer { .. } => {}
+            Event::Probed { .. } | Event::Started { .. } | Event::Broken { .. } | Event::Timer { .. } => {}
         }
     }
 
--- a/node/src/control.rs
+++ b/node/src/control.rs
@@ -16,7 +16,7 @@
 use tokio::time::{Instant, sleep};
 
 use crate::driver::{Node, Seen};
-use crate::server::Phase;
+use crate::front::Phase;
 
 const BOUNDS: Bounds = Bounds { line: 4096, patience: Duration::from_secs(10), connections: 8 };
 
--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -6,12 +6,13 @@
 mod control;
 mod discovery;
 mod driver;
+pub mod front;
 mod pace;
 mod prober;
-mod seats;
+pub mod seats;
 mod server;
-mod sparing;
-mod tap;
+pub mod sparing;
+pub mod tap;
 mod upstream;
 
 use std::cell::Cell;
@@ -29,7 +30,7 @@
 use tokio::time::{sleep, timeout};
 
 use driver::{Clock, Node};
-use server::Phase;
+use front::Phase;
 use upstream::Upstream;
 
 /// After SIGTERM connections go on coming for a while, up to here.
--- a/node/src/seats.rs
+++ b/node/src/seats.rs
@@ -42,6 +42,21 @@
 const SWEEP: Duration = Duration::from_millis(100);
 const ROOM_AGAIN: Duration = Duration::from_millis(10);
 
+/// How long connections may take.
+#[derive(Clone, Copy, Debug)]
+pub struct Times {
+    /// A request is whole this long after its first byte, the first one of a connection this long after the connect.
+    pub whole: Duration,
+    /// Between requests a connection is kept for this long where there is room.
+    pub idle: Duration,
+}
+
+impl Default for Times {
+    fn default() -> Self {
+        Self { whole: WHOLE_WITHIN, idle: IDLE_MOST }
+    }
+}
+
 /// What stands on a connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Stage {
@@ -69,6 +84,7 @@
     told_off: Cell<bool>,
     close: Notify,
     idle: Rc<Idle>,
+    times: Rc<Cell<Times>>,
 }
 
 /// How many connections stand idle, and how many are many.
@@ -78,9 +94,10 @@
 }
 
 impl Seat {
-    fn new(idle: Rc<Idle>) -> Self {
+    fn new(idle: Rc<Idle>, times: Rc<Cell<Times>>) -> Self {
         Self {
             idle,
+            times,
             stage: Cell::new(Stage::Silent),
             since: Cell::new(Instant::now()),
             doubled: Cell::new(false),
@@ -132,7 +149,7 @@
         if self.stage.get() != Stage::Arriving {
             self.enter(Stage::Arriving);
         }
-        self.since.get() + WHOLE_WITHIN
+        self.since.get() + self.times.get().whole
     }
 
     /// A request is taken.
@@ -169,10 +186,10 @@
     fn overdue(&self, now: Instant, ends: bool) -> bool {
         let most = match self.stage.get() {
             Stage::Silent if ends => SILENT_AT_THE_END,
-            Stage::Silent | Stage::Arriving => WHOLE_WITHIN + CLOSES_AFTER,
+            Stage::Silent | Stage::Arriving => self.times.get().whole + CLOSES_AFTER,
             Stage::Open => return false,
             Stage::Answering => TAKEN_WITHIN,
-            Stage::Idle => IDLE_MOST,
+            Stage::Idle => self.times.get().idle,
             Stage::Leaving => LINGER,
         };
         now.saturating_duration_since(self.since.get()) >= most
@@ -203,6 +220,7 @@
     idle: Rc<Idle>,
     next: Cell<u64>,
     most: usize,
+    times: Rc<Cell<Times>>,
     /// No more are taken.
     ends: Cell<bool>,
     freed: Notify,
@@ -210,10 +228,20 @@
 
 impl Seats {
     /// Seats for so many connections.
-    pub fn new(most: usize) -> Rc<Self> {
+    pub fn new(most: usize, times: Times) -> Rc<Self> {
         let idle = Rc::new(Idle { now: Cell::new(0), many: most / MANY_IDLE });
-        let (next, ends) = (Cell::new(0), Cell::new(false));
-        Rc::new(Self { seats: RefCell::default(), idle, next, most, ends, freed: Notify::new() })
+        let (next, ends, times) = (Cell::new(0), Cell::new(false), Rc::new(Cell::new(times)));
+        Rc::new(Self { seats: RefCell::default(), idle, next, most, times, ends, freed: Notify::new() })
+    }
+
+    /// From now on connections may take so long.
+    pub fn set_times(&self, times: Times) {
+        self.times.set(times);
+    }
+
+    /// How long connections may take.
+    pub fn times(&self) -> Times {
+        self.times.get()
     }
 
     /// A seat for a new connection, once there is room; those who have to make it are closed first.
@@ -223,7 +251,7 @@
             // Somebody may go of itself meanwhile, or become old enough to be closed.
             let _ = timeout(ROOM_AGAIN, self.freed.notified()).await;
         }
-        let (number, seat) = (self.next.get(), Rc::new(Seat::new(self.idle.clone())));
+        let (number, seat) = (self.next.get(), Rc::new(Seat::new(self.idle.clone(), self.times.clone())));
         self.next.set(number + 1);
         self.seats.borrow_mut().insert(number, seat.clone());
         Seated { seats: self.clone(), number, seat }
--- a/node/src/server.rs
+++ b/node/src/server.rs
@@ -1,33 +1,22 @@
 //! The clients' side: takes connections, reads requests, waits for each one's final answer and writes it.
 
-use std::convert::Infallible;
-use std::future::{Future, poll_fn};
-use std::pin::Pin;
-use std::task::Poll;
-use std::time::Duration;
+use std::rc::Rc;
 
 use brookfield::{Effect, Nanos};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
-use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
-use hyper::server::conn::http1;
-use hyper::service::service_fn;
+use hyper::header::{self, HeaderMap, HeaderValue};
 use hyper::{Method, Request, Response, StatusCode};
-use hyper_util::rt::TokioIo;
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpListener;
 use tokio::sync::watch;
-use tokio::task::spawn_local;
-use tokio::time::{Instant, sleep, timeout_at};
+use tokio::time::{Instant, timeout_at};
 
 use crate::driver::{Asked, Call, Node, Reply};
-use crate::seats::{Clerk, Seat, Seated, Seats};
-use crate::sparing::Sparing;
-use crate::tap::{Ahead, Tap, hurry};
+use crate::front::{self, Answers, Phase, end_to_end};
+use crate::seats::{Seat, Seats, Times};
 use crate::upstream::MAX_BODY;
 
-/// Wait before the next accept after one failed: out of descriptors, the next would fail at once.
-const ACCEPT_AGAIN: Duration = Duration::from_millis(20);
 const MAX_HEAD: usize = 32 * 1024;
 /// A client counts its time from its send to the last byte of the answer, so the ways there and back come
 /// off: an answer that leaves as the budget ends comes to a client that has just given up.
@@ -44,19 +33,6 @@
 const COST: &str = "x-call-cost";
 const KEY: &str = "idempotency-key";
 
-/// How far the node is on its way out.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub enum Phase {
-    /// In service.
-    Serving,
-    /// Takes all that comes; each answer ends its connection.
-    Stopping,
-    /// Closes connections on which nothing is going on, and still takes new ones.
-    Closing,
-    /// Takes no more connections.
-    Closed,
-}
-
 /// What is wrong with a request.
 #[derive(Debug, thiserror::Error)]
 enum BadCall {
@@ -96,98 +72,16 @@
 type Answer = Response<Full<Bytes>>;
 
 /// Serves until the phase is [`Phase::Closed`] and all connections have ended. At most `most` are open.
-pub async fn run(listener: TcpListener, node: Node, most: usize, mut phase: watch::Receiver<Phase>) {
-    let seats = Seats::new(most);
-    let sweeper = spawn_local(seats.clone().sweep());
-    let mut closed = phase.clone();
-    let closed = closed.wait_for(|phase| *phase == Phase::Closed);
-    let accepting = async {
-        let mut sparing = Sparing::default();
-        loop {
-            match listener.accept().await {
-                Ok((stream, _)) => welcome(stream, &node, seats.take().await, &phase),
-                Err(error) => {
-                    sparing.say(|more| tracing::warn!("accept: {error} ({more} more)"));
-                    sleep(ACCEPT_AGAIN).await;
-                }
-            }
-        }
-    };
-    // The accept is polled first: what waits in the backlog is taken before the listener goes.
-    tokio::select! {
-        biased;
-        () = accepting => {}
-        _ = closed => {}
-    }
-    drop(listener);
-    phase.mark_unchanged();
-    seats.emptied().await;
-    sweeper.abort();
-}
-
-fn welcome(stream: TcpStream, node: &Node, seated: Seated, phase: &watch::Receiver<Phase>) {
-    let (node, phase) = (node.clone(), phase.clone());
-    spawn_local(async move {
-        tokio::select! {
-            biased;
-            () = seated.seat().closed() => {}
-            result = converse(stream, node, seated.seat(), phase) => {
-                result.unwrap_or_else(|error| tracing::debug!("client: {error}"));
-            }
-        }
-    });
+pub async fn run(listener: TcpListener, node: Node, most: usize, phase: watch::Receiver<Phase>) {
+    front::run(listener, Seats::new(most, Times::default()), phase, MAX_HEAD, node).await;
 }
 
-#[derive(Debug, thiserror::Error)]
-enum Trouble {
-    #[error(transparent)]
-    Socket(#[from] std::io::Error),
-    #[error(transparent)]
-    Http(#[from] hyper::Error),
-}
+impl Answers for Node {
+    type Body = Full<Bytes>;
 
-async fn converse(
-    stream: TcpStream,
-    node: Node,
-    seat: &std::rc::Rc<Seat>,
-    mut phase: watch::Receiver<Phase>,
-) -> Result<(), Trouble> {
-    hurry(&stream);
-    // One that comes during the way out is closed by its first answer. Closing it sooner would lose the
-    // request for which it was opened.
-    let late = *phase.borrow() != Phase::Serving;
-    let answers = phase.clone();
-    let service = service_fn(|request| answer(&node, seat, request, &answers));
-    let ahead = Ahead::new(stream);
-    let line = TokioIo::new(Tap { stream: ahead.clone(), ear: Clerk::new(seat.clone()) });
-    let mut connection = http1::Builder::new().max_buf_size(MAX_HEAD).serve_connection(line, service);
-    let mut ending = std::pin::pin!(phase.wait_for(|phase| *phase >= Phase::Closing));
-    let (mut ends, mut told) = (false, false);
-    let result = poll_fn(|cx| {
-        loop {
-            // First: what has come is read before anything is closed.
-            if let Poll::Ready(result) = Pin::new(&mut connection).poll(cx) {
-                return Poll::Ready(Some(result));
-            }
-            if seat.is_open() && ahead.poll_left(cx).is_ready() {
-                return Poll::Ready(None);
-            }
-            ends = ends || (!late && ending.as_mut().poll(cx).is_ready());
-            // A request of which a part has come is read to its end, and its answer ends the connection.
-            if !ends || told || seat.is_arriving() {
-                return Poll::Pending;
-            }
-            told = true;
-            Pin::new(&mut connection).graceful_shutdown();
-        }
-    })
-    .await;
-    // The client has left, and its request with it.
-    let Some(result) = result else { return Ok(()) };
-    if result.is_err() || seat.told_off() {
-        connection.into_parts().io.into_inner().leave().await;
+    async fn answer(&self, seat: Rc<Seat>, request: Request<Incoming>, phase: watch::Receiver<Phase>) -> Answer {
+        answer(self, &seat, request, &phase).await
     }
-    Ok(result?)
 }
 
 async fn answer(
@@ -195,7 +89,7 @@
     seat: &Seat,
     request: Request<Incoming>,
     phase: &watch::Receiver<Phase>,
-) -> Result<Answer, Infallible> {
+) -> Answer {
     let whole_by = seat.arriving();
     let serving = || *phase.borrow() == Phase::Serving;
     let (response, bad) = match request.uri().path() {
@@ -216,7 +110,7 @@
         response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
     }
     seat.answering(bad);
-    Ok(response)
+    response
 }
 
 async fn call(
@@ -254,7 +148,7 @@
         hint,
         repeat,
         budget: time_left(budget, deadline, spent),
-        call: Call { method: head.method, target: head.uri, headers: end_to_end(head.headers), body },
+        call: Call { method: head.method, target: head.uri, headers: end_to_end(head.headers, &[CALL_ID, KEY]), body },
     };
     let waiting = node.submit(asked).ok_or(BadCall::Taken(CALL_ID))?;
     seat.open();
@@ -316,34 +210,6 @@
     }
 }
 
-/// The headers that go on: all but those that speak of this one connection. The framing is made anew.
-fn end_to_end(mut headers: HeaderMap) -> HeaderMap {
-    let named: Vec<HeaderName> = headers
-        .get_all(header::CONNECTION)
-        .iter()
-        .filter_map(|value| value.to_str().ok())
-        .flat_map(|value| value.split(','))
-        .filter_map(|name| name.trim().parse().ok())
-        .filter(|name| *name != CALL_ID && *name != KEY)
-        .collect();
-    let hop = [
-        header::CONNECTION,
-        header::CONTENT_LENGTH,
-        header::EXPECT,
-        header::PROXY_AUTHENTICATE,
-        header::PROXY_AUTHORIZATION,
-        header::TE,
-        header::TRAILER,
-        header::TRANSFER_ENCODING,
-        header::UPGRADE,
-        HeaderName::from_static("keep-alive"),
-    ];
-    for name in named.into_iter().chain(hop) {
-        headers.remove(name);
-    }
-    headers
-}
-
 fn worded(reply: Reply) -> Answer {
     match reply {
         Reply::Served(body) => Response::new(Full::new(body)),
--- /dev/null
+++ b/protocol/src/configuration.rs
@@ -0,0 +1,497 @@
+//! The operator's configuration: a document of named items, kept as the operator wrote them, and the view of it by which
+//! requests are routed.
+//!
+//! Every list of objects with a `name` is a section, also one that this version does not know: it is kept, changed by name and
+//! given back whole.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use figment::Figment;
+use figment::providers::{Format, Json};
+use serde::Deserialize;
+use serde_json::value::RawValue;
+use speedy::{Readable, Writable};
+
+/// A named item, as the operator wrote it.
+#[derive(Clone, Debug, PartialEq, Eq, Readable, Writable)]
+pub struct Item {
+    /// Its name.
+    pub name: String,
+    /// The whole of it, as JSON.
+    pub json: String,
+}
+
+/// A whole configuration.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Readable, Writable)]
+pub struct Document {
+    /// Its version.
+    pub revision: u64,
+    /// Lists of named items.
+    pub sections: BTreeMap<String, Vec<Item>>,
+    /// All other fields, as JSON.
+    pub rest: BTreeMap<String, String>,
+}
+
+/// A change of a configuration: what an operator sends to `PATCH`, and what leads from one version to the next.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Readable, Writable)]
+pub struct Change {
+    /// The version that it leads to.
+    pub revision: u64,
+    /// Items to add, or to replace by name.
+    pub upsert: BTreeMap<String, Vec<Item>>,
+    /// Names of items to remove.
+    pub remove: BTreeMap<String, Vec<String>>,
+    /// Other fields that have changed; none for one that has gone.
+    pub rest: BTreeMap<String, Option<String>>,
+}
+
+/// What is wrong with a configuration. Names the field; nothing is changed by it.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum ConfigurationError {
+    /// It is no JSON, or was cut short.
+    #[error("the configuration can't be read: {0}: send it whole, as one JSON object")]
+    Unreadable(String),
+    /// A field is missing or of the wrong kind.
+    #[error("{0}: correct that field")]
+    Field(String),
+    /// Two items of one name.
+    #[error("{section}: two items are named {name:?}: give each its own name")]
+    Twice {
+        /// The section.
+        section: String,
+        /// The name.
+        name: String,
+    },
+    /// The version does not rise.
+    #[error("revision: {sent} is not above the current {current}: read the configuration anew and count on from there")]
+    Revision {
+        /// The version that was sent.
+        sent: u64,
+        /// The current one.
+        current: u64,
+    },
+    /// A route names an unknown service.
+    #[error("routes: {route:?}: service {service:?} is not known: add it under services, or name another")]
+    UnknownService {
+        /// The route.
+        route: String,
+        /// The service.
+        service: String,
+    },
+    /// Two routes share host and prefix.
+    #[error("routes: {one:?} and {other:?} share host {host:?} and path_prefix {prefix:?}: give each a place of its own")]
+    SamePlace {
+        /// A route.
+        one: String,
+        /// The other.
+        other: String,
+        /// Their host.
+        host: String,
+        /// Their prefix.
+        prefix: String,
+    },
+    /// A route leads nowhere.
+    #[error("routes: {route:?}: the weights of its split sum to 0: give one of its services a weight, or a service by itself")]
+    NoWeight {
+        /// The route.
+        route: String,
+    },
+    /// A route leaves no time.
+    #[error("routes: {route:?}: timeout_ms is 0: give its requests some time")]
+    NoTimeout {
+        /// The route.
+        route: String,
+    },
+}
+
+/// What a route's requests are.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Deserialize, strum::Display)]
+#[serde(rename_all = "snake_case")]
+#[strum(serialize_all = "snake_case")]
+pub enum RouteKind {
+    /// May run more than once.
+    Safe,
+    /// May run once for each try of a client.
+    Unsafe,
+    /// Answered by a series of events; as `unsafe` unless it may be resumed.
+    Streaming,
+}
+
+/// A service's part of a route.
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+pub struct Split {
+    /// The service.
+    pub service: String,
+    /// Its weight against the others'.
+    pub weight: f64,
+}
+
+/// A route.
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+pub struct Route {
+    /// Its name.
+    pub name: String,
+    /// The host that its requests name.
+    pub host: String,
+    /// How their paths begin.
+    pub path_prefix: String,
+    /// What they are.
+    pub route_kind: RouteKind,
+    /// The longest that one is held, in milliseconds.
+    pub timeout_ms: f64,
+    /// An answer within this earns its full worth.
+    #[serde(default)]
+    pub target_ms: f64,
+    /// Its rank; 0 goes first.
+    #[serde(default)]
+    pub priority: u32,
+    /// The service, where there is one.
+    pub service: Option<String>,
+    /// The services, where there are several.
+    #[serde(default)]
+    pub split: Vec<Split>,
+    /// Servers that one try may be sent to.
+    #[serde(default = "one")]
+    pub max_tries: u32,
+    /// Servers keep something of its requests for the next ones.
+    #[serde(default)]
+    pub sticky: bool,
+    /// A stream may go on at another server.
+    #[serde(default)]
+    pub resumable: bool,
+    /// The longest pause between events at which an answer is in time.
+    #[serde(default)]
+    pub gap_aim_ms: f64,
+    /// The regions in which its requests may be served; any where there are none.
+    #[serde(default)]
+    pub home_regions: Vec<String>,
+}
+
+fn one() -> u32 {
+    1
+}
+
+impl Route {
+    /// Whether a request may run more than once.
+    pub fn is_repeatable(&self) -> bool {
+        match self.route_kind {
+            RouteKind::Safe => true,
+            RouteKind::Unsafe => false,
+            RouteKind::Streaming => self.resumable,
+        }
+    }
+
+    /// The services that it leads to, with their weights.
+    pub fn targets(&self) -> Vec<(&str, f64)> {
+        match &self.service {
+            Some(service) if self.split.is_empty() => vec![(service, 1.0)],
+            _ => self.split.iter().map(|part| (part.service.as_str(), part.weight)).collect(),
+        }
+    }
+}
+
+/// What is known of a service's engines.
+#[derive(Clone, Copy, Debug, PartialEq, Deserialize)]
+pub struct Engine {
+    /// Requests that run at once.
+    pub slots: f64,
+    /// Tokens that are kept, for running requests and for prompts that may come again.
+    pub cache_tokens: f64,
+}
+
+/// A service.
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+pub struct Service {
+    /// Its name.
+    pub name: String,
+    /// Where its health is asked for.
+    #[serde(default)]
+    pub health_path: String,
+    /// Connections that a server accepts from all callers together.
+    #[serde(default = "many")]
+    pub max_conns: f64,
+    /// A server is cold for so many seconds after its start ...
+    #[serde(default)]
+    pub cold_s: f64,
+    /// ... and bears so many requests a second meanwhile.
+    #[serde(default)]
+    pub cold_per_s: f64,
+    /// Its engines, where it is a model's.
+    pub engine: Option<Engine>,
+}
+
+fn many() -> f64 {
+    1000.0
+}
+
+/// What clients may send, and for how long.
+#[derive(Clone, Copy, Debug, PartialEq, Deserialize)]
+#[serde(default)]
+pub struct Limits {
+    /// The longest head, in bytes.
+    pub max_header_bytes: f64,
+    /// The longest body, in bytes.
+    pub max_body_bytes: f64,
+    /// The longest that a head may take to come, in milliseconds.
+    pub header_timeout_ms: f64,
+    /// The longest that a connection may be idle, in milliseconds.
+    pub idle_timeout_ms: f64,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            max_header_bytes: 16384.0,
+            max_body_bytes: 4_194_304.0,
+            header_timeout_ms: 3000.0,
+            idle_timeout_ms: 15000.0,
+        }
+    }
+}
+
+/// The view of a configuration by which requests are routed.
+#[derive(Clone, Debug, Default, PartialEq, Deserialize)]
+pub struct Configuration {
+    /// Its version.
+    pub revision: u64,
+    /// Its routes.
+    #[serde(default)]
+    pub routes: Vec<Route>,
+    /// Its services.
+    #[serde(default)]
+    pub services: Vec<Service>,
+    /// Its limits.
+    #[serde(default)]
+    pub limits: Limits,
+}
+
+type Fields = BTreeMap<String, Box<RawValue>>;
+
+fn unreadable(error: &serde_json::Error) -> ConfigurationError {
+    ConfigurationError::Unreadable(error.to_string())
+}
+
+fn fields(body: &[u8]) -> Result<Fields, ConfigurationError> {
+    serde_json::from_slice(body).map_err(|error| unreadable(&error))
+}
+
+fn revision(fields: &mut Fields) -> Result<u64, ConfigurationError> {
+    let field = fields.remove("revision");
+    let field = field.ok_or_else(|| ConfigurationError::Field("revision is missing".to_owned()))?;
+    let whole = field.get().parse::<u64>();
+    whole.map_err(|_| ConfigurationError::Field(format!("revision: {} is not a whole number", field.get())))
+}
+
+#[derive(Deserialize)]
+struct Named {
+    name: String,
+}
+
+/// A list of objects that all have names; none for anything else.
+fn items(raw: &RawValue) -> Option<Vec<Item>> {
+    let list: Vec<Box<RawValue>> = serde_json::from_str(raw.get()).ok()?;
+    let item = |raw: &Box<RawValue>| {
+        let named: Named = serde_json::from_str(raw.get()).ok()?;
+        Some(Item { name: named.name, json: raw.get().to_owned() })
+    };
+    list.iter().map(item).collect()
+}
+
+fn check_names(section: &str, items: &[Item]) -> Result<(), ConfigurationError> {
+    let mut names = BTreeSet::new();
+    match items.iter().find(|item| !names.insert(&item.name)) {
+        Some(item) => {
+            Err(ConfigurationError::Twice { section: section.to_owned(), name: item.name.clone() })
+        }
+        None => Ok(()),
+    }
+}
+
+impl Document {
+    /// Reads a whole configuration.
+    ///
+    /// # Errors
+    /// Where it can't be read whole. Whether it makes sense is told by [`Document::checked`].
+    pub fn read(body: &[u8]) -> Result<Self, ConfigurationError> {
+        let mut fields = fields(body)?;
+        let mut document = Self { revision: revision(&mut fields)?, ..Self::default() };
+        for (name, raw) in fields {
+            match items(&raw) {
+                Some(items) => {
+                    check_names(&name, &items)?;
+                    document.sections.insert(name, items);
+                }
+                None => {
+                    document.rest.insert(name, raw.get().to_owned());
+                }
+            }
+        }
+        Ok(document)
+    }
+
+    /// The whole of it, as JSON.
+    pub fn text(&self) -> String {
+        let mut text = format!("{{\"revision\":{}", self.revision);
+        let mut field = |name: &str, value: &str| {
+            text.push_str(&format!(",{}:{value}", serde_json::Value::from(name)));
+        };
+        for (name, items) in &self.sections {
+            let items: Vec<&str> = items.iter().map(|item| item.json.as_str()).collect();
+            field(name, &format!("[{}]", items.join(",")));
+        }
+        for (name, value) in &self.rest {
+            field(name, value);
+        }
+        text.push('}');
+        text
+    }
+
+    /// The view by which requests are routed.
+    ///
+    /// # Errors
+    /// Where a field is missing or of the wrong kind; the error names it.
+    pub fn view(&self) -> Result<Configuration, ConfigurationError> {
+        let read = Figment::from(Json::string(&self.text())).extract();
+        read.map_err(|error: figment::Error| {
+            let path: Vec<&str> = error.path.iter().map(String::as_str).collect();
+            ConfigurationError::Field(format!("{}: {}", path.join("."), error.kind))
+        })
+    }
+
+    /// Checks that it can be in force after the current version, and gives the view of it.
+    ///
+    /// # Errors
+    /// Where it can't; the error names the field.
+    pub fn checked(&self, current: u64) -> Result<Configuration, ConfigurationError> {
+        if self.revision <= current {
+            return Err(ConfigurationError::Revision { sent: self.revision, current });
+        }
+        let view = self.view()?;
+        let services: BTreeSet<&str> = view.services.iter().map(|service| service.name.as_str()).collect();
+        let mut places = BTreeMap::new();
+        for route in &view.routes {
+            let named = || route.name.clone();
+            if route.service.is_none() && route.split.is_empty() {
+                let text = format!("routes: {:?}: service is missing", route.name);
+                return Err(ConfigurationError::Field(text));
+            }
+            let all = route.service.iter().chain(route.split.iter().map(|part| &part.service));
+            if let Some(service) = all.into_iter().find(|service| !services.contains(service.as_str())) {
+                return Err(ConfigurationError::UnknownService { route: named(), service: service.clone() });
+            }
+            let weights = route.targets();
+            if weights.iter().any(|(_, weight)| !weight.is_finite() || *weight < 0.0)
+                || weights.iter().map(|(_, weight)| weight).sum::<f64>() <= 0.0
+            {
+                return Err(ConfigurationError::NoWeight { route: named() });
+            }
+            if route.timeout_ms.is_nan() || route.timeout_ms <= 0.0 {
+                return Err(ConfigurationError::NoTimeout { route: named() });
+            }
+            let place = (route.host.to_ascii_lowercase(), route.path_prefix.as_str());
+            if let Some(one) = places.insert(place, &route.name) {
+                return Err(ConfigurationError::SamePlace {
+                    one: one.clone(),
+                    other: named(),
+                    host: route.host.clone(),
+                    prefix: route.path_prefix.clone(),
+                });
+            }
+        }
+        Ok(view)
+    }
+
+    /// This configuration with a change made to it.
+    #[must_use]
+    pub fn with(&self, change: &Change) -> Self {
+        let mut changed = self.clone();
+        changed.revision = change.revision;
+        for (section, names) in &change.remove {
+            let names: BTreeSet<&str> = names.iter().map(String::as_str).collect();
+            let items = changed.sections.entry(section.clone()).or_default();
+            items.retain(|item| !names.contains(item.name.as_str()));
+        }
+        for (section, upsert) in &change.upsert {
+            let items = changed.sections.entry(section.clone()).or_default();
+            let mut at: BTreeMap<String, usize> =
+                items.iter().enumerate().map(|(at, item)| (item.name.clone(), at)).collect();
+            for item in upsert {
+                match at.get(&item.name) {
+                    Some(&at) => items[at] = item.clone(),
+                    None => {
+                        at.insert(item.name.clone(), items.len());
+                        items.push(item.clone());
+                    }
+                }
+            }
+        }
+        for (name, value) in &change.rest {
+            match value {
+                Some(value) => changed.rest.insert(name.clone(), value.clone()),
+                None => changed.rest.remove(name),
+            };
+        }
+        changed
+    }
+
+    /// What leads from this configuration to another one. Where items have changed their order without a change of their own,
+    /// they keep the old one; nothing depends on it.
+    pub fn change_to(&self, other: &Self) -> Change {
+        let mut change = Change { revision: other.revision, ..Change::default() };
+        let empty = Vec::new();
+        let names: BTreeSet<&String> = self.sections.keys().chain(other.sections.keys()).collect();
+        for section in names {
+            let old = self.sections.get(section).unwrap_or(&empty);
+            let new = other.sections.get(section).unwrap_or(&empty);
+            let before: BTreeMap<&str, &str> =
+                old.iter().map(|item| (item.name.as_str(), item.json.as_str())).collect();
+            let after: BTreeSet<&str> = new.iter().map(|item| item.name.as_str()).collect();
+            let differs = |item: &&Item| before.get(item.name.as_str()) != Some(&item.json.as_str());
+            let upsert: Vec<Item> = new.iter().filter(differs).cloned().collect();
+            let remove: Vec<String> =
+                before.keys().filter(|name| !after.contains(*name)).map(|name| (*name).to_owned()).collect();
+            if !upsert.is_empty() || !self.sections.contains_key(section) {
+                change.upsert.insert(section.clone(), upsert);
+            }
+            if !remove.is_empty() {
+                change.remove.insert(section.clone(), remove);
+            }
+        }
+        for name in self.rest.keys().chain(other.rest.keys()).collect::<BTreeSet<_>>() {
+            if self.rest.get(name) != other.rest.get(name) {
+                change.rest.insert(name.clone(), other.rest.get(name).cloned());
+            }
+        }
+        change
+    }
+}
+
+impl Change {
+    /// Reads a change of named items as an operator sends it.
+    ///
+    /// # Errors
+    /// Where it can't be read whole.
+    pub fn read(body: &[u8]) -> Result<Self, ConfigurationError> {
+        let mut fields = fields(body)?;
+        let mut change = Self { revision: revision(&mut fields)?, ..Self::default() };
+        if let Some(raw) = fields.remove("upsert") {
+            let sections: Fields = serde_json::from_str(raw.get()).map_err(|error| unreadable(&error))?;
+            for (section, raw) in sections {
+                let items = items(&raw).ok_or_else(|| {
+                    ConfigurationError::Field(format!("upsert.{section}: not a list of named items"))
+                })?;
+                check_names(&section, &items)?;
+                change.upsert.insert(section, items);
+            }
+        }
+        if let Some(raw) = fields.remove("remove") {
+            change.remove = serde_json::from_str(raw.get()).map_err(|error| {
+                ConfigurationError::Field(format!("remove: not lists of names: {error}"))
+            })?;
+        }
+        for (name, raw) in fields {
+            change.rest.insert(name, Some(raw.get().to_owned()));
+        }
+        Ok(change)
+    }
+}
--- /dev/null
+++ b/protocol/src/feed.rs
@@ -0,0 +1,162 @@
+//! Between a control node and those who follow it.
+//!
+//! What is followed has numbers that count alike at every control node, so that a follower may take changes from one and go on
+//! with another. A follower says how far it is; it gets the changes from there on, or a whole state where they are no longer
+//! kept. It takes nothing that is not newer than what it has.
+
+use speedy::{Readable, Writable};
+
+use crate::configuration::{Change, Document};
+use crate::ids::{Epoch, NodeId, Part};
+
+/// How far a follower is. The default is that of one who has nothing.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Readable, Writable)]
+pub struct Position {
+    /// The number of the configuration's last change.
+    pub configuration: u64,
+    /// For each part with evacuations, the number of its last change.
+    pub evacuations: Vec<(Part, u64)>,
+    /// The list of servers: its reader's epoch, and its number in that.
+    pub servers: (Epoch, u64),
+}
+
+impl Position {
+    /// The number of a part's last change of evacuations.
+    pub fn evacuations_of(&self, part: Part) -> u64 {
+        self.evacuations.iter().find(|(of, _)| *of == part).map_or(0, |(_, sequence)| *sequence)
+    }
+}
+
+/// How far a router is.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Readable, Writable)]
+pub enum RouterState {
+    /// It lacks a configuration or a list of servers.
+    #[default]
+    Starting,
+    /// It takes requests.
+    Ready,
+    /// It has been told to end.
+    Leaving,
+}
+
+/// A router, for those who look for one.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Readable, Writable)]
+pub struct Router {
+    /// Its machine.
+    pub node: NodeId,
+    /// Where it takes requests, as `address:port`.
+    pub front: String,
+    /// Its zone.
+    pub zone: String,
+    /// Its region.
+    pub region: String,
+    /// How far it is.
+    pub state: RouterState,
+}
+
+/// A server of the platform's list.
+#[derive(Clone, Debug, PartialEq, Eq, Readable, Writable)]
+pub struct Server {
+    /// Its incarnation.
+    pub id: String,
+    /// Its service.
+    pub service: String,
+    /// Where it listens.
+    pub address: String,
+    /// Its zone.
+    pub zone: String,
+    /// Requests that it works on at once.
+    pub slots: u32,
+    /// Nothing new may be sent to it.
+    pub draining: bool,
+    /// For so many more milliseconds, counted from the writing of this message, it is cold.
+    pub cold_left_ms: u32,
+    /// For so many more it is there, where it goes at short notice.
+    pub remaining_ms: Option<u32>,
+}
+
+/// News of the list of servers.
+#[derive(Clone, Debug, PartialEq, Eq, Readable, Writable)]
+pub struct Servers {
+    /// The reader's epoch.
+    pub epoch: Epoch,
+    /// The number that this leads from; none for a whole list.
+    pub from: Option<u64>,
+    /// The number that it leads to.
+    pub to: u64,
+    /// Servers that are new or have changed; all of them in a whole list.
+    pub upsert: Vec<Server>,
+    /// Incarnations that are gone.
+    pub gone: Vec<String>,
+}
+
+/// News of one part's evacuations: all of them.
+#[derive(Clone, Debug, PartialEq, Eq, Readable, Writable)]
+pub struct Evacuations {
+    /// The part.
+    pub part: Part,
+    /// The number of its last change.
+    pub sequence: u64,
+    /// Each zone that was ever evacuated, whether it is now, and how often that has changed.
+    pub zones: Vec<(String, bool, u64)>,
+}
+
+/// From a follower.
+#[derive(Clone, Debug, PartialEq, Readable, Writable)]
+pub enum FromFollower {
+    /// First of all, and whenever what it wants has changed.
+    Follow {
+        /// Who follows.
+        router: Router,
+        /// Whether changes are to be sent as they come, or only told of.
+        primary: bool,
+        /// How far it is.
+        position: Position,
+    },
+    /// It is there.
+    Beat {
+        /// How far it is with its own life.
+        state: RouterState,
+    },
+    /// It wants what is newer than this, once.
+    Want {
+        /// How far it is.
+        position: Position,
+    },
+}
+
+/// To a follower.
+#[derive(Clone, Debug, PartialEq, Readable, Writable)]
+pub enum ToFollower {
+    /// How far the control node is. Comes on each change, and as a sign of life.
+    Heads {
+        /// How far.
+        position: Position,
+        /// Whether it is in touch with most of its group: what it tells is fresh then.
+        in_touch: bool,
+        /// Routers that it knows of, directly or from others.
+        routers: u32,
+        /// The control nodes that it knows.
+        controls: Vec<NodeId>,
+    },
+    /// The whole configuration.
+    Whole {
+        /// Its number.
+        sequence: u64,
+        /// The configuration.
+        document: Document,
+    },
+    /// A change of the configuration.
+    Change {
+        /// The number that it leads from.
+        from: u64,
+        /// The number that it leads to.
+        to: u64,
+        /// The change.
+        change: Change,
+    },
+    /// Evacuations.
+    Evacuations(Evacuations),
+    /// Servers.
+    Servers(Servers),
+}
--- /dev/null
+++ b/protocol/src/frame.rs
@@ -0,0 +1,123 @@
+//! How messages stand in a stream of bytes: a word that marks ours, the version, the length, a checksum, the message.
+//!
+//! What is not a frame of ours ends its connection: behind it there is no telling where the next one begins. Nothing is lost by
+//! that, as whatever was decided stands elsewhere and whoever is behind asks anew.
+
+use speedy::{LittleEndian, Readable, Writable};
+
+/// Marks a frame of ours.
+const MARK: u16 = 0x6976;
+/// The version of the messages. Another one is refused: there is no guessing at what it means.
+pub const VERSION: u16 = 1;
+const HEAD: usize = 2 + 2 + 4 + 4;
+/// No message is longer, in bytes: a whole configuration with all of its history is far below.
+pub const LONGEST: usize = 24 << 20;
+
+/// Why bytes are no message.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+pub enum FrameError {
+    /// Not one of ours.
+    #[error("what came on the inner port is no message of the system: see who else connects there")]
+    Foreign,
+    /// Another version's.
+    #[error("a message of version {theirs}, where this program speaks version {VERSION}: bring all machines to one release")]
+    Version {
+        /// The version that came.
+        theirs: u16,
+    },
+    /// Too long.
+    #[error("a message of {length} bytes, over the {LONGEST} that are taken: make the configuration smaller")]
+    TooLong {
+        /// Its length.
+        length: usize,
+    },
+    /// Damaged on the way.
+    #[error("a damaged message: the connection is opened anew; where it comes again, see to the network")]
+    Damaged,
+    /// Ours by its head, and not to be read.
+    #[error("a message that can't be read ({0}): bring all machines to one release")]
+    Unreadable(String),
+}
+
+/// A short checksum of a message or a record (FNV-1a over words, folded).
+pub fn checksum(bytes: &[u8]) -> u32 {
+    let mut hash = 0xcbf2_9ce4_8422_2325_u64 ^ bytes.len() as u64;
+    let mut words = bytes.chunks_exact(8);
+    for word in &mut words {
+        let word = u64::from_le_bytes(word.try_into().unwrap_or_default());
+        hash = (hash ^ word).wrapping_mul(0x9e37_79b9_7f4a_7c15).rotate_left(29);
+    }
+    for byte in words.remainder() {
+        hash = (hash ^ u64::from(*byte)).wrapping_mul(0x0100_0000_01b3);
+    }
+    let mixed = crate::ids::mix(hash);
+    (mixed ^ (mixed >> 32)) as u32
+}
+
+/// A message as bytes, ready to be written.
+pub fn encode<M: Writable<LittleEndian>>(message: &M) -> Vec<u8> {
+    // Writing to memory fails for nothing that the messages hold.
+    let body = message.write_to_vec().unwrap_or_default();
+    let mut bytes = Vec::with_capacity(HEAD + body.len());
+    bytes.extend_from_slice(&MARK.to_le_bytes());
+    bytes.extend_from_slice(&VERSION.to_le_bytes());
+    bytes.extend_from_slice(&(body.len() as u32).to_le_bytes());
+    bytes.extend_from_slice(&checksum(&body).to_le_bytes());
+    bytes.extend_from_slice(&body);
+    bytes
+}
+
+/// Takes bytes in as they come, and gives messages.
+#[derive(Default)]
+pub struct Decoder {
+    bytes: Vec<u8>,
+    at: usize,
+}
+
+impl Decoder {
+    /// Takes some bytes in.
+    pub fn feed(&mut self, bytes: &[u8]) {
+        if self.at > 0 && self.at == self.bytes.len() {
+            self.bytes.clear();
+            self.at = 0;
+        }
+        self.bytes.extend_from_slice(bytes);
+    }
+
+    /// The next whole message, if it has come.
+    ///
+    /// # Errors
+    /// Where the bytes are no message: the connection is of no further use.
+    pub fn next<M: for<'a> Readable<'a, LittleEndian>>(&mut self) -> Result<Option<M>, FrameError> {
+        let rest = &self.bytes[self.at..];
+        if rest.len() < HEAD {
+            if rest.len() >= 2 && rest[..2] != MARK.to_le_bytes() {
+                return Err(FrameError::Foreign);
+            }
+            return Ok(None);
+        }
+        let word = |at: usize| u16::from_le_bytes([rest[at], rest[at + 1]]);
+        let long = |at: usize| u32::from_le_bytes([rest[at], rest[at + 1], rest[at + 2], rest[at + 3]]);
+        if word(0) != MARK {
+            return Err(FrameError::Foreign);
+        }
+        if word(2) != VERSION {
+            return Err(FrameError::Version { theirs: word(2) });
+        }
+        let length = long(4) as usize;
+        if length > LONGEST {
+            return Err(FrameError::TooLong { length });
+        }
+        let Some(body) = rest.get(HEAD..HEAD + length) else { return Ok(None) };
+        if checksum(body) != long(8) {
+            return Err(FrameError::Damaged);
+        }
+        let message = M::read_from_buffer(body).map_err(|error| FrameError::Unreadable(error.to_string()))?;
+        self.at += HEAD + length;
+        if self.at > 64 * 1024 {
+            self.bytes.drain(..self.at);
+            self.at = 0;
+        }
+        Ok(Some(message))
+    }
+}
--- /dev/null
+++ b/protocol/tests/configuration.rs
@@ -0,0 +1,79 @@
+//! The operator's configuration: each kind of invalid one, changes by name, and what is given back.
+
+use googletest::prelude::*;
+use ivyhatch_protocol::configuration::{Change, ConfigurationError, Document};
+
+const WHOLE: &str = r#"{"revision":7,"routes":[
+    {"name":"a","host":"h.example","path_prefix":"/a/","route_kind":"streaming","timeout_ms":12000.0,"target_ms":800,
+     "priority":0,"split":[{"service":"s","weight":90},{"service":"t","weight":10}],"max_tries":2,"sticky":true,
+     "resumable":true,"gap_aim_ms":300,"home_regions":[],"unknown":{"kept":true}},
+    {"name":"b","host":"h.example","path_prefix":"/a/b/","route_kind":"safe","timeout_ms":3000,"service":"s"}],
+  "services":[{"name":"s","health_path":"/healthz","max_conns":640,"cold_s":3.0,"cold_per_s":29.0},{"name":"t"}],
+  "tenants":[{"name":"x","quota":3}],
+  "limits":{"max_header_bytes":16384}}"#;
+
+fn whole() -> Document {
+    Document::read(WHOLE.as_bytes()).expect("a sound configuration")
+}
+
+/// The whole configuration with one text replaced by another, checked against version 5.
+fn checked_with(from: &str, to: &str) -> std::result::Result<(), ConfigurationError> {
+    assert!(WHOLE.contains(from), "{from} does not stand there");
+    Document::read(WHOLE.replace(from, to).as_bytes())?.checked(5).map(drop)
+}
+
+#[gtest]
+fn a_sound_one_is_taken_and_given_back_with_all_that_was_sent() {
+    let view = whole().checked(5).expect("sound");
+    expect_that!(view.routes.len(), eq(2));
+    expect_that!(view.routes[0].targets(), elements_are![eq(&("s", 90.0)), eq(&("t", 10.0))]);
+    expect_that!(view.routes[1].targets(), elements_are![eq(&("s", 1.0))]);
+    expect_that!(view.routes[1].max_tries, eq(1));
+    let sent: serde_json::Value = serde_json::from_str(WHOLE).expect("JSON");
+    let back: serde_json::Value = serde_json::from_str(&whole().text()).expect("JSON");
+    expect_that!(back, eq(&sent));
+}
+
+#[gtest]
+fn each_kind_of_invalid_one_is_refused_with_its_field() {
+    use ConfigurationError as E;
+    let cut = Document::read(&WHOLE.as_bytes()[..WHOLE.len() - 40]);
+    expect_that!(cut, err(matches_pattern!(E::Unreadable(_))));
+    expect_that!(checked_with(r#""service":"s"}"#, r#""service":"z"}"#), err(matches_pattern!(E::UnknownService { .. })));
+    expect_that!(checked_with(r#""service":"t","weight":10"#, r#""service":"z","weight":0"#), err(matches_pattern!(E::UnknownService { .. })));
+    expect_that!(checked_with("/a/b/", "/a/"), err(matches_pattern!(E::SamePlace { .. })));
+    expect_that!(checked_with(r#"[{"service":"s","weight":90},{"service":"t","weight":10}]"#, r#"[{"service":"s","weight":0}]"#), err(matches_pattern!(E::NoWeight { .. })));
+    expect_that!(checked_with(r#""timeout_ms":3000"#, r#""timeout_ms":0"#), err(matches_pattern!(E::NoTimeout { .. })));
+    expect_that!(checked_with(r#""revision":7"#, r#""revision":5"#), err(eq(&E::Revision { sent: 5, current: 5 })));
+    expect_that!(checked_with(r#""name":"b""#, r#""name":"a""#), err(matches_pattern!(E::Twice { .. })));
+    expect_that!(checked_with(r#""timeout_ms":3000,"#, ""), err(displays_as(contains_substring("timeout_ms"))));
+    expect_that!(checked_with(r#","service":"s"}"#, "}"), err(displays_as(contains_substring("service is missing"))));
+    expect_that!(checked_with(r#""route_kind":"safe""#, r#""route_kind":"odd""#), err(displays_as(contains_substring("route_kind"))));
+}
+
+#[gtest]
+fn a_change_adds_replaces_and_removes_by_name() {
+    let change = br#"{"revision":9,"upsert":{"routes":[{"name":"c","host":"h.example","path_prefix":"/c/","route_kind":"safe",
+        "timeout_ms":1,"service":"s"}],"tenants":[{"name":"x","quota":4}]},"remove":{"routes":["b","not-there"]}}"#;
+    let changed = whole().with(&Change::read(change).expect("a sound change"));
+    let view = changed.checked(7).expect("sound");
+    let names: Vec<&str> = view.routes.iter().map(|route| route.name.as_str()).collect();
+    expect_that!(names, elements_are![eq(&"a"), eq(&"c")]);
+    expect_that!(changed.text(), contains_substring(r#""quota":4"#));
+    expect_that!(Change::read(br#"{"revision":9,"upsert":{"routes":[{"host":"#), err(matches_pattern!(ConfigurationError::Unreadable(_))));
+    let missing = Change::read(br#"{"revision":9,"remove":{"services":["s"]}}"#).expect("readable");
+    expect_that!(whole().with(&missing).checked(7), err(matches_pattern!(ConfigurationError::UnknownService { .. })));
+}
+
+#[gtest]
+fn what_leads_from_one_version_to_another_leads_there() {
+    let other = Document::read(
+        WHOLE.replace(r#""revision":7"#, r#""revision":8"#).replace("/a/b/", "/b/").replace(r#""tenants":[{"name":"x","quota":3}],"#, "").replace("16384", "1").as_bytes(),
+    )
+    .expect("sound");
+    for (one, two) in [(whole(), other.clone()), (other, whole()), (Document::default(), whole())] {
+        let mut there = one.with(&one.change_to(&two));
+        there.sections.retain(|_, items| !items.is_empty());
+        expect_that!(there, eq(&two));
+    }
+}
--- /dev/null
+++ b/routing/src/follow.rs
@@ -0,0 +1,317 @@
+//! Which control nodes a router follows, and what they have told.
+//!
+//! A router keeps a session with up to three of them. One sends it all that changes, the others only how far they are, so that a
+//! change is carried once and yet the loss of a control node, or a cut around one, costs a fraction of a second. Nothing that is
+//! older than what the router has is taken: within one life of the process no version goes back.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use ivyhatch_protocol::configuration::{Change, Document};
+use ivyhatch_protocol::feed::{Evacuations, FromFollower, Position, Router, RouterState, ToFollower};
+use ivyhatch_protocol::ids::{NodeId, Part, hash, mix};
+use ivyhatch_protocol::servers::List;
+use ivyhatch_protocol::{MILLISECOND, Nanos, SECOND};
+
+/// Control nodes that are followed at once.
+const MOST_LINKS: usize = 3;
+/// Pause between two signs of life.
+const BEAT: Nanos = 500 * MILLISECOND;
+/// A control node that said nothing for so long is not relied on.
+const SILENT: Nanos = 1300 * MILLISECOND;
+/// One that could not be reached for so long makes room for another, if there is one.
+const UNREACHED: Nanos = 2 * SECOND;
+/// What another has and the primary one does not bring is asked for after this.
+const LATE: Nanos = 250 * MILLISECOND;
+/// Routers that are known of are counted for so long after they were told of: shares of what all may do must not grow on the word
+/// of a control node that has been cut off.
+const COUNTED: Nanos = 30 * SECOND;
+
+/// What the follower hears.
+#[derive(Debug)]
+pub enum Heard {
+    /// Time has passed. Comes every 100 ms or so.
+    Tick,
+    /// A session with a control node is open; connecting took so long.
+    Linked(NodeId, Nanos),
+    /// It has ended, or could not be opened.
+    Lost(NodeId),
+    /// A control node has said something.
+    Message(NodeId, ToFollower),
+    /// The settings name these control nodes.
+    Seeds(Vec<NodeId>),
+    /// How far the router is.
+    State(RouterState),
+}
+
+/// What is to be done.
+#[derive(Debug, PartialEq)]
+pub enum Done {
+    /// Keep sessions with these, and no others.
+    Links(Vec<NodeId>),
+    /// Tell a control node.
+    Tell(NodeId, FromFollower),
+    /// The configuration has changed so.
+    Configuration(Change),
+    /// Servers or evacuations have changed.
+    Servers,
+    /// So many routers are known of.
+    Routers(u32),
+    /// A line for the log: the event's name, and its key=value pairs.
+    Log(&'static str, String),
+}
+
+#[derive(Debug, Default)]
+struct Link {
+    /// Since when it is open; none while it is not.
+    open: Option<Nanos>,
+    lost_at: Nanos,
+    took: Nanos,
+    heard: Nanos,
+    in_touch: bool,
+    position: Position,
+    wanted: Nanos,
+    ahead_since: Option<Nanos>,
+}
+
+/// What a router follows.
+#[derive(Debug)]
+pub struct Follower {
+    router: Router,
+    now: Nanos,
+    known: BTreeSet<NodeId>,
+    links: BTreeMap<NodeId, Link>,
+    primary: Option<NodeId>,
+    beat_at: Nanos,
+    sequence: u64,
+    document: Document,
+    evacuations: BTreeMap<Part, Evacuations>,
+    list: List,
+    routers: u32,
+    routers_at: Nanos,
+}
+
+impl Follower {
+    /// A router that knows nothing but its seeds.
+    pub fn new(router: Router, seeds: &[NodeId], now: Nanos) -> Self {
+        Self {
+            router,
+            now,
+            known: seeds.iter().copied().collect(),
+            links: BTreeMap::new(),
+            primary: None,
+            beat_at: 0,
+            sequence: 0,
+            document: Document::default(),
+            evacuations: BTreeMap::new(),
+            list: List::default(),
+            routers: 0,
+            routers_at: now,
+        }
+    }
+
+    /// Takes one event in and adds what is to be done.
+    pub fn handle(&mut self, now: Nanos, heard: Heard, out: &mut Vec<Done>) {
+        self.now = self.now.max(now);
+        match heard {
+            Heard::Tick => {}
+            Heard::Linked(node, took) => {
+                let now = self.now;
+                if let Some(link) = self.links.get_mut(&node) {
+                    *link = Link { open: Some(now), took, heard: now, ..Link::default() };
+                    self.follow(node, out);
+                }
+            }
+            Heard::Lost(node) => {
+                let now = self.now;
+                if let Some(link) = self.links.get_mut(&node)
+                    && (link.open.take().is_some() || link.lost_at == 0)
+                {
+                    link.lost_at = now;
+                }
+            }
+            Heard::Message(from, message) => self.message(from, message, out),
+            Heard::Seeds(seeds) => self.known.extend(seeds),
+            Heard::State(state) => {
+                if std::mem::replace(&mut self.router.state, state) != state {
+                    self.beat(out);
+                }
+            }
+        }
+        self.choose_links(out);
+        self.choose_primary(out);
+        self.ask_for_more(out);
+        if self.now >= self.beat_at + BEAT {
+            self.beat(out);
+        }
+    }
+
+    /// The configuration's number; 0 while there is none.
+    pub fn sequence(&self) -> u64 {
+        self.sequence
+    }
+
+    /// The configuration.
+    pub fn document(&self) -> &Document {
+        &self.document
+    }
+
+    /// The list of servers.
+    pub fn list(&self) -> &List {
+        &self.list
+    }
+
+    /// Whether a zone is evacuated, and how often that has changed.
+    pub fn evacuation(&self, zone: &str) -> (bool, u64) {
+        let zones = self.evacuations.get(&Part::of(zone)).into_iter().flat_map(|part| &part.zones);
+        zones.into_iter().find(|(of, ..)| of == zone).map_or((false, 0), |(_, active, changes)| (*active, *changes))
+    }
+
+    /// Whether a configuration and a list of servers are known.
+    pub fn is_ready(&self) -> bool {
+        self.sequence > 0 && self.list.position() != List::default().position()
+    }
+
+    fn position(&self) -> Position {
+        let evacuations = self.evacuations.values().map(|part| (part.part, part.sequence)).collect();
+        Position { configuration: self.sequence, evacuations, servers: self.list.position() }
+    }
+
+    fn is_behind(&self, position: &Position) -> bool {
+        let evacuated = |(part, sequence): &(Part, u64)| {
+            self.evacuations.get(part).is_none_or(|known| known.sequence < *sequence)
+        };
+        position.configuration > self.sequence
+            || position.servers > self.list.position()
+            || position.evacuations.iter().any(evacuated)
+    }
+
+    fn message(&mut self, from: NodeId, message: ToFollower, out: &mut Vec<Done>) {
+        let now = self.now;
+        let Some(link) = self.links.get_mut(&from) else { return };
+        link.heard = now;
+        match message {
+            ToFollower::Heads { position, in_touch, routers, controls } => {
+                (link.position, link.in_touch) = (position, in_touch);
+                self.known.extend(controls);
+                if routers >= self.routers {
+                    self.routers_at = now;
+                }
+                if routers > self.routers || now >= self.routers_at + COUNTED {
+                    (self.routers, self.routers_at) = (routers, now);
+                    out.push(Done::Routers(routers));
+                }
+            }
+            ToFollower::Whole { sequence, document } => {
+                if sequence > self.sequence {
+                    let change = self.document.change_to(&document);
+                    (self.sequence, self.document) = (sequence, document);
+                    self.tell_configuration(change, out);
+                }
+            }
+            ToFollower::Change { from: of, to, change } => {
+                if of == self.sequence && to > of {
+                    self.document = self.document.with(&change);
+                    self.sequence = to;
+                    self.tell_configuration(change, out);
+                }
+            }
+            ToFollower::Evacuations(part) => {
+                if self.evacuations.get(&part.part).is_none_or(|known| known.sequence < part.sequence) {
+                    self.evacuations.insert(part.part, part);
+                    out.push(Done::Servers);
+                }
+            }
+            ToFollower::Servers(news) => {
+                let before = self.list.position();
+                // Where they do not follow on what is known here, the whole list is asked for as any other news.
+                if self.list.follow(now, news) && before != self.list.position() {
+                    out.push(Done::Servers);
+                }
+            }
+        }
+    }
+
+    fn tell_configuration(&self, change: Change, out: &mut Vec<Done>) {
+        let pairs = format!("revision={} sequence={}", self.document.revision, self.sequence);
+        out.push(Done::Log("configuration", pairs));
+        out.push(Done::Configuration(change));
+    }
+
+    fn beat(&mut self, out: &mut Vec<Done>) {
+        self.beat_at = self.now;
+        let state = self.router.state;
+        let open = self.links.iter().filter(|(_, link)| link.open.is_some());
+        out.extend(open.map(|(node, _)| Done::Tell(*node, FromFollower::Beat { state })));
+    }
+
+    fn follow(&self, node: NodeId, out: &mut Vec<Done>) {
+        let primary = self.primary == Some(node);
+        let follow = FromFollower::Follow { router: self.router.clone(), primary, position: self.position() };
+        out.push(Done::Tell(node, follow));
+    }
+
+    /// Which control nodes to follow: each router draws its own three lots, so that followers are spread, and passes over those
+    /// that can't be reached as long as there are others.
+    fn choose_links(&mut self, out: &mut Vec<Done>) {
+        let unreached = |node: &NodeId| {
+            let link = self.links.get(node);
+            link.is_some_and(|link| {
+                link.open.is_none() && link.lost_at > 0 && self.now >= link.lost_at + UNREACHED
+            })
+        };
+        let lot = |node: &NodeId| mix(hash(self.router.front.as_bytes()) ^ mix(u64::from(node.0)));
+        let mut order: Vec<(bool, u64, NodeId)> =
+            self.known.iter().map(|node| (unreached(node), lot(node), *node)).collect();
+        order.sort_unstable();
+        let chosen: BTreeSet<NodeId> = order.into_iter().take(MOST_LINKS).map(|(.., node)| node).collect();
+        if chosen.iter().eq(self.links.keys()) {
+            return;
+        }
+        self.links.retain(|node, _| chosen.contains(node));
+        for node in &chosen {
+            self.links.entry(*node).or_default();
+        }
+        out.push(Done::Links(chosen.into_iter().collect()));
+    }
+
+    /// The one that sends all changes: in touch with its group, and near.
+    fn choose_primary(&mut self, out: &mut Vec<Done>) {
+        let sound = |link: &Link| link.open.is_some() && self.now < link.heard + SILENT;
+        let good = |link: &Link| sound(link) && link.in_touch;
+        let keeps = self.primary.and_then(|node| self.links.get(&node)).is_some_and(good);
+        if keeps {
+            return;
+        }
+        let candidates = self.links.iter().filter(|(_, link)| sound(link));
+        let best = candidates.min_by_key(|(_, link)| (!link.in_touch, link.took)).map(|(node, _)| *node);
+        if best != self.primary && best.is_some() {
+            let before = std::mem::replace(&mut self.primary, best);
+            out.push(Done::Log("follows", format!("primary={}", best.map_or_else(String::new, |n| n.to_string()))));
+            let still = |node: &NodeId| self.links.get(node).is_some_and(|link| link.open.is_some());
+            before.iter().chain(best.iter()).filter(|node| still(node)).for_each(|node| self.follow(*node, out));
+        }
+    }
+
+    /// Asks others for what the primary one does not bring in time.
+    fn ask_for_more(&mut self, out: &mut Vec<Done>) {
+        let now = self.now;
+        let behind: Vec<NodeId> = self
+            .links
+            .iter()
+            .filter(|(_, link)| link.open.is_some() && self.is_behind(&link.position))
+            .map(|(node, _)| *node)
+            .collect();
+        let position = self.position();
+        for (node, link) in &mut self.links {
+            if !behind.contains(node) {
+                link.ahead_since = None;
+                continue;
+            }
+            let since = *link.ahead_since.get_or_insert(now);
+            if now >= since + LATE && now >= link.wanted + 2 * LATE {
+                link.wanted = now;
+                out.push(Done::Tell(*node, FromFollower::Want { position: position.clone() }));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/routing/src/placement.rs
@@ -0,0 +1,238 @@
+//! Where a request of one service may go, and what it would meet there: homes, cold servers, and model servers' queues. This is
+//! what the design is advised by; which region and which server it is, the design decides.
+
+use std::cell::RefCell;
+use std::collections::{HashMap, VecDeque};
+use std::rc::Rc;
+
+use brookfield::{Advice, BackendId, RequestId};
+use ivyhatch_protocol::ids::mix;
+use ivyhatch_protocol::{MILLISECOND, Nanos};
+
+use crate::engine::{Engine, Load, Speed};
+use crate::prompt::{Kept, Prompt};
+
+/// The span in which a cold server's sends are counted: a second, and a tenth for sends that are held up on the way.
+const COLD_SPAN: Nanos = 1100 * MILLISECOND;
+/// Part of the cold bound that is used; the rest is for routers that are not known of yet.
+const COLD_PART: f64 = 0.9;
+/// A prompt may wait for so many times its aim at a server that this router has sent to; beyond that it goes elsewhere or not at
+/// all.
+const PATIENCE: f64 = 1.25;
+
+/// Regions as bits; the deployment's regions are numbered.
+pub type Regions = u64;
+
+/// What a service's servers bear while they are cold.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Cold {
+    /// Requests a second, over all routers; 0 where there is no bound.
+    pub per_s: f64,
+    /// A server may be cold for so long after an evacuation has been withdrawn.
+    pub span: Nanos,
+}
+
+#[derive(Debug, Default)]
+struct Server {
+    region: u32,
+    lot: u64,
+    cold_until: Nanos,
+    sends: VecDeque<Nanos>,
+    engine: Engine,
+    kept: Kept,
+}
+
+#[derive(Debug)]
+struct Asked {
+    homes: Regions,
+    prompt: Prompt,
+    aim: Nanos,
+    /// In each region the server at which the prompt's shared part is looked for first.
+    first: Vec<Option<BackendId>>,
+    sent: Option<(BackendId, u32, bool)>,
+}
+
+/// One service's servers, as a router sees them.
+#[derive(Debug)]
+pub struct Placement {
+    home: u32,
+    regions: u32,
+    is_model: bool,
+    cold: Cold,
+    routers: u32,
+    speed: Speed,
+    servers: HashMap<BackendId, Server>,
+    requests: HashMap<RequestId, Asked>,
+}
+
+/// A placement that the design and its embedder share.
+#[derive(Clone)]
+pub struct Shared(pub Rc<RefCell<Placement>>);
+
+impl Placement {
+    /// For a router in region `home` of so many.
+    pub fn new(home: u32, regions: u32) -> Self {
+        Self {
+            home,
+            regions,
+            is_model: false,
+            cold: Cold::default(),
+            routers: 1,
+            speed: Speed::default(),
+            servers: HashMap::new(),
+            requests: HashMap::new(),
+        }
+    }
+
+    /// What the configuration says of the service.
+    pub fn configure(&mut self, is_model: bool, cold: Cold) {
+        (self.is_model, self.cold) = (is_model, cold);
+    }
+
+    /// So many routers share what cold servers bear.
+    pub fn set_routers(&mut self, routers: u32) {
+        self.routers = routers.max(1);
+    }
+
+    /// A server is listed, and cold for so long.
+    pub fn listed(&mut self, id: BackendId, name: &str, region: u32, cold_until: Nanos) {
+        let server = self.servers.entry(id).or_default();
+        server.region = region;
+        server.lot = ivyhatch_protocol::ids::hash(name.as_bytes());
+        server.cold_until = server.cold_until.max(cold_until);
+    }
+
+    /// A server may have turned cold just now.
+    pub fn may_be_cold(&mut self, now: Nanos, id: BackendId) {
+        let span = self.cold.span;
+        if let Some(server) = self.servers.get_mut(&id) {
+            server.cold_until = server.cold_until.max(now + span);
+        }
+    }
+
+    /// A server has gone.
+    pub fn gone(&mut self, id: BackendId) {
+        self.servers.remove(&id);
+    }
+
+    /// A request comes in.
+    pub fn asked(&mut self, request: RequestId, homes: Regions, prompt: Prompt, aim: Nanos) {
+        let mut first = vec![None; self.regions as usize];
+        if let Some(shared) = prompt.shared() {
+            let mut best = vec![0; first.len()];
+            for (id, server) in &self.servers {
+                let at = server.region as usize;
+                let lot = mix(server.lot ^ shared).max(1);
+                if at < best.len() && lot > best[at] {
+                    (best[at], first[at]) = (lot, Some(*id));
+                }
+            }
+        }
+        self.requests.insert(request, Asked { homes, prompt, aim, first, sent: None });
+    }
+
+    /// A request has ended.
+    pub fn ended(&mut self, request: RequestId) {
+        self.settled(request);
+        self.requests.remove(&request);
+    }
+
+    /// A request is sent to a server.
+    pub fn sent(&mut self, now: Nanos, request: RequestId, to: BackendId) {
+        let unread = self.unread(now, request, to);
+        let Some(server) = self.servers.get_mut(&to) else { return };
+        server.sends.push_back(now);
+        while server.sends.front().is_some_and(|at| now >= at + COLD_SPAN) {
+            server.sends.pop_front();
+        }
+        if let Some(asked) = self.requests.get_mut(&request) {
+            server.engine.sent(unread);
+            asked.sent = Some((to, unread, false));
+        }
+    }
+
+    /// What a server says of itself with an answer.
+    pub fn told(&mut self, now: Nanos, from: BackendId, load: Load) {
+        if let Some(server) = self.servers.get_mut(&from) {
+            server.engine.told(now, load);
+        }
+    }
+
+    /// A request's answer has begun, this long after it was sent.
+    pub fn begun(&mut self, now: Nanos, request: RequestId, took: Nanos) {
+        let Some(asked) = self.requests.get_mut(&request) else { return };
+        let Some((to, unread, begun @ false)) = &mut asked.sent else { return };
+        *begun = true;
+        if let Some(server) = self.servers.get_mut(to) {
+            server.engine.begun(*unread);
+            server.engine.learn(&mut self.speed, *unread, took);
+            server.kept.read(now, &asked.prompt);
+        }
+    }
+
+    /// A request's attempt has ended.
+    pub fn settled(&mut self, request: RequestId) {
+        let Some(asked) = self.requests.get_mut(&request) else { return };
+        let Some((to, unread, begun)) = asked.sent.take() else { return };
+        if let Some(server) = self.servers.get_mut(&to) {
+            if !begun {
+                server.engine.begun(unread);
+            }
+            server.engine.ended();
+        }
+    }
+
+    /// A server's utilisation, where it is a model's.
+    pub fn utilisation(&self, of: BackendId) -> Option<f64> {
+        let server = self.servers.get(&of).filter(|_| self.is_model)?;
+        Some(server.engine.utilisation(&self.speed))
+    }
+
+    /// Requests a second that this router may send to a cold server.
+    fn cold_share(&self) -> usize {
+        ((self.cold.per_s * COLD_PART / f64::from(self.routers)) as usize).max(1)
+    }
+
+    fn unread(&self, now: Nanos, request: RequestId, to: BackendId) -> u32 {
+        let (Some(asked), Some(server)) = (self.requests.get(&request), self.servers.get(&to)) else { return 0 };
+        let own = server.kept.unread(now, &asked.prompt);
+        // Others have sent the like there, if they look for it where this router does.
+        let first = asked.first.get(server.region as usize).copied().flatten() == Some(to);
+        let last = asked.prompt.parts.last().map_or(asked.prompt.tokens, |(_, tokens)| *tokens);
+        if first { own.min(last) } else { own }
+    }
+}
+
+impl Advice for Shared {
+    fn allows(&self, now: Nanos, request: RequestId, backend: BackendId) -> bool {
+        let placement = self.0.borrow();
+        let Some(server) = placement.servers.get(&backend) else { return false };
+        let Some(asked) = placement.requests.get(&request) else { return true };
+        if server.region < 64 && asked.homes & (1 << server.region) == 0 {
+            return false;
+        }
+        if now < server.cold_until && placement.cold.per_s > 0.0 {
+            let recent = server.sends.iter().filter(|at| now < *at + COLD_SPAN).count();
+            if recent >= placement.cold_share() {
+                return false;
+            }
+        }
+        if !placement.is_model || server.engine.own() == 0 {
+            return true;
+        }
+        let unread = placement.unread(now, request, backend);
+        server.engine.delay(now, &placement.speed, unread) <= PATIENCE * asked.aim as f64
+    }
+
+    fn delay(&self, now: Nanos, request: RequestId, backend: BackendId) -> Option<f64> {
+        let placement = self.0.borrow();
+        let server = placement.servers.get(&backend).filter(|_| placement.is_model)?;
+        Some(server.engine.delay(now, &placement.speed, placement.unread(now, request, backend)))
+    }
+
+    fn may_stay(&self, request: RequestId) -> bool {
+        let placement = self.0.borrow();
+        let asked = placement.requests.get(&request);
+        asked.is_none_or(|asked| placement.home >= 64 || asked.homes & (1 << placement.home) != 0)
+    }
+}
--- a/settings/src/lib.rs
+++ b/settings/src/lib.rs
@@ -91,6 +91,7 @@
         worth: fields.number_or("importance", 1.0)?,
         late_share: fields.number_or("late-share", 0.0)?,
         effect,
+        ..ClassSettings::default()
     };
     Ok((fields.text("name")?.to_owned(), settings))
 }
--- /dev/null
+++ b/src/advice.rs
@@ -0,0 +1,98 @@
+//! What the embedder knows of single requests and backends, and the module asks for at each choice; and what of a node's settings
+//! changes while it runs.
+
+use crate::api::*;
+use crate::policy::figures::HANDFUL;
+use crate::state::*;
+
+/// What an embedder advises. Without one the module goes by what it has learned.
+pub trait Advice {
+    /// Whether this request may go to this backend now, whatever else speaks for it.
+    fn allows(&self, now: Nanos, request: RequestId, backend: BackendId) -> bool;
+
+    /// The time to the beginning of this request's answer from this backend, in nanoseconds; none where it is not known better
+    /// than by what the module has learned. Where it is known, `allows` tells as well whether there is room.
+    fn delay(&self, now: Nanos, request: RequestId, backend: BackendId) -> Option<f64>;
+
+    /// Whether the node's own zone can ever take this request.
+    fn may_stay(&self, request: RequestId) -> bool;
+}
+
+impl Balancer {
+    /// Goes by this advice from now on.
+    pub fn advise(&mut self, advice: Box<dyn Advice>) {
+        self.advice = Some(advice);
+    }
+
+    /// So many nodes share the backends from now on.
+    pub fn set_nodes(&mut self, nodes: u32) {
+        self.settings.nodes = nodes.max(1);
+    }
+
+    /// A class more; its number is the next one.
+    pub fn add_class(&mut self, class: ClassSettings) -> ClassId {
+        let id = ClassId(self.classes.len() as u32);
+        self.classes.push(ClassView::new(&class));
+        self.settings.classes.push(class);
+        self.held.add_class();
+        id
+    }
+
+    pub(crate) fn advised(&self, request: &Request, backend: &Backend) -> bool {
+        let to = backend.member.backend;
+        self.advice.as_ref().is_none_or(|advice| advice.allows(self.now, request.id, to))
+    }
+
+    pub(crate) fn may_stay(&self, id: RequestId) -> bool {
+        self.advice.as_ref().is_none_or(|advice| advice.may_stay(id))
+    }
+
+    fn advised_delay(&self, request: &Request, backend: &Backend) -> Option<f64> {
+        self.advice.as_ref()?.delay(self.now, request.id, backend.member.backend)
+    }
+
+    /// Whether the embedder tells what this backend can take.
+    pub(crate) fn is_advised(&self, request: &Request, backend: &Backend) -> bool {
+        self.advised_delay(request, backend).is_some()
+    }
+
+    /// The time that an answer is expected to take from this backend.
+    pub(crate) fn expected(&self, request: &Request, backend: &Backend) -> f64 {
+        self.advised_delay(request, backend).unwrap_or_else(|| {
+            let slowness = backend.slowness(self.now, &self.settings.rules);
+            slowness * self.delay(request.class, backend.load(self.crowd()))
+        })
+    }
+
+    /// Whether the request may be sent to one more backend. What was never written was not sent.
+    pub(crate) fn attempts_left(&self, request: &Request) -> bool {
+        let Some(most) = self.settings.classes[request.class].attempts else {
+            return (request.attempts.len() as u32) < self.settings.limits.attempts;
+        };
+        let unsent = |attempt: &&Attempt| {
+            matches!(attempt.outcome, Some(Outcome::ConnectFailed | Outcome::Moot))
+        };
+        let unsent = request.attempts.iter().filter(unsent).count();
+        // Those that can't be reached are bounded as well: a request must not go through all of them.
+        request.attempts.len() - unsent < most as usize && (unsent as f64) < HANDFUL
+    }
+
+    /// How long a request that was never sent may be held.
+    pub(crate) fn patience(&self, class: usize, wait: Nanos) -> Nanos {
+        self.settings.classes[class].patience.unwrap_or(wait / 2).min(wait)
+    }
+
+    /// Whether it is too late to send a request again.
+    pub(crate) fn too_late(&self, request: &Request) -> bool {
+        let class = &self.settings.classes[request.class];
+        self.now >= if class.again_late { request.not_after } else { request.aim_end }
+    }
+
+    /// A stream has broken off: it is open again, with a new aim.
+    pub(crate) fn go_on(&mut self, id: RequestId, aim_end: Nanos) {
+        self.stand(id, Phase::Open);
+        if let Some(request) = self.requests.get_mut(&id) {
+            request.aim_end = aim_end.min(request.not_after);
+        }
+    }
+}
--- a/src/api.rs
+++ b/src/api.rs
@@ -60,6 +60,12 @@
     pub late_share: f64,
     /// Whether it may be repeated.
     pub effect: Effect,
+    /// Most backends that one request may be sent to; none for what the limits say.
+    pub attempts: Option<u32>,
+    /// A request that was never sent is held for so long at most; none for half of its client's time.
+    pub patience: Option<Nanos>,
+    /// A request that failed is sent again past its aim as well.
+    pub again_late: bool,
 }
 
 impl Default for ClassSettings {
@@ -70,6 +76,9 @@
             worth: 1.0,
             late_share: 0.0,
             effect: Effect::Repeatable,
+            attempts: None,
+            patience: None,
+            again_late: false,
         }
     }
 }
@@ -411,6 +420,13 @@
         /// The request.
         request: RequestId,
     },
+    /// A streamed answer has broken off and may go on at another backend; its attempt's end follows.
+    Broken {
+        /// The request.
+        request: RequestId,
+        /// It goes on by then, or is late.
+        aim_end: Nanos,
+    },
     /// A probe ended.
     Probed {
         /// The backend.
--- a/src/held.rs
+++ b/src/held.rs
@@ -41,6 +41,12 @@
         Self { turn: 0, bands, aims, ends: BTreeSet::new() }
     }
 
+    /// Room for one class more.
+    pub(crate) fn add_class(&mut self) {
+        self.bands.extend([BTreeSet::new(), BTreeSet::new()]);
+        self.aims.extend([BTreeSet::new(), BTreeSet::new()]);
+    }
+
     pub(crate) fn is_empty(&self) -> bool {
         self.ends.is_empty()
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -2,6 +2,7 @@
 #![warn(missing_docs)]
 #![doc = include_str!("../README.md")]
 
+mod advice;
 pub mod api;
 mod held;
 mod learning;
@@ -11,5 +12,6 @@
 mod tally;
 mod view;
 
+pub use advice::Advice;
 pub use api::*;
 pub use state::{Balancer, mix};
--- a/src/policy/admission.rs
+++ b/src/policy/admission.rs
@@ -18,7 +18,7 @@
         if self.many() {
             return self.fits(request, left, slowness, backend);
         }
-        if self.is_free(slowness, backend) {
+        if self.is_free(slowness, backend) || self.is_advised(request, backend) {
             return true;
         }
         let load = backend.load(self.crowd());
--- a/src/policy/backends.rs
+++ b/src/policy/backends.rs
@@ -7,7 +7,7 @@
 impl Backend {
     /// Load in requests for each unit of size: own ones, times the nodes that do alike; where these are
     /// many, what all nodes have been told.
-    pub(super) fn load(&self, crowd: f64) -> f64 {
+    pub(crate) fn load(&self, crowd: f64) -> f64 {
         let own = f64::from(self.in_flight) / self.size();
         match self.held {
             Some(held) if crowd > SHARED_VIEW => IDLE_LOAD + held.max(own),
--- a/src/policy/ledger.rs
+++ b/src/policy/ledger.rs
@@ -30,12 +30,13 @@
         };
         let aim_end = arrival.not_after.min(first + self.settings.classes[class].aim);
         let request = Request {
+            id: arrival.request,
             class,
             cost,
             // Picking the requests with small hints for a small budget picks the hints that are too low.
             cold_cost: cost.max(view.cost),
             aim_end,
-            half: self.now + wait / 2,
+            half: self.now + self.patience(class, wait),
             not_after: arrival.not_after,
             attempts: Vec::new(),
             phase: Phase::Open,
@@ -77,15 +78,15 @@
             && self.may_go(request)
             && self.may_go_to(request, backend)
             && self.cold_budget(backend, request)
+            && self.advised(request, backend)
     }
 
     /// What the gate asks of the request alone.
     pub(super) fn may_go(&self, request: &Request) -> bool {
         let live = matches!(request.phase, Phase::Open | Phase::Held) && self.now < request.not_after;
-        let attempts_left = (request.attempts.len() as u32) < self.settings.limits.attempts;
         let alone = self.settings.limits.second_copies || !request.attempts.iter().any(Attempt::out);
         let once = self.settings.classes[request.class].effect == Effect::Once;
-        live && attempts_left && alone && !(once && request.attempts.iter().any(Attempt::may_have_run))
+        live && self.attempts_left(request) && alone && !(once && request.attempts.iter().any(Attempt::may_have_run))
     }
 
     fn may_go_to(&self, request: &Request, backend: &Backend) -> bool {
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -37,6 +37,7 @@
             Event::Fleet { scope, members } => self.fleet(scope, members),
             Event::FleetFailed => self.ask_later(),
             Event::Request(arrival) => self.arrive(arrival, actions),
+            Event::Broken { request, aim_end } => self.go_on(request, aim_end),
             Event::Settled(settlement) => self.settle(settlement, actions),
             Event::Started { request } => self.stand(request, Phase::Streaming),
             Event::Probed { backend, outcome, report, .. } => self.probed(backend, outcome, report, actions),
--- a/src/policy/pick.rs
+++ b/src/policy/pick.rs
@@ -56,9 +56,7 @@
                 }
                 continue;
             }
-            let slowness = backend.slowness(self.now, &self.settings.rules);
-            let delay = slowness * self.delay(request.class, backend.load(self.crowd()));
-            let delay = delay * failing * (1.0 + JITTER * chance);
+            let delay = self.expected(request, backend) * failing * (1.0 + JITTER * chance);
             if best.is_none_or(|(least, _)| delay < least) {
                 best = Some((delay, to));
             }
--- a/src/policy/retries.rs
+++ b/src/policy/retries.rs
@@ -17,7 +17,7 @@
         if request.attempts.iter().any(Attempt::out) {
             return;
         }
-        let late = self.now >= request.aim_end;
+        let late = self.too_late(request);
         // What was turned away at once has cost little: its first retry is free.
         let unseen = request.attempts.len() == 1 && !request.attempts[0].may_have_run();
         let again = (self.retry_tokens >= 1.0 || (unseen && self.many())) && !late;
--- a/src/policy/zones.rs
+++ b/src/policy/zones.rs
@@ -126,7 +126,7 @@
         if under && let Some(to) = self.pick(id, home) {
             return Some(to);
         }
-        if under && self.stays_a_moment(id) {
+        if under && self.may_stay(id) && self.stays_a_moment(id) {
             return None;
         }
         let target = self.overflow.first().copied().filter(|_| self.qualified > 0);
--- a/src/state.rs
+++ b/src/state.rs
@@ -6,6 +6,7 @@
 
 use brookfield_probing::Scheduler;
 
+use crate::advice::Advice;
 use crate::api::*;
 use crate::held::{Held, Hold};
 use crate::notices::Notices;
@@ -170,6 +171,7 @@
 
 /// A request that is open, or ended with an attempt still out.
 pub(crate) struct Request {
+    pub(crate) id: RequestId,
     pub(crate) class: usize,
     pub(crate) cost: f64,
     pub(crate) cold_cost: f64,
@@ -283,6 +285,17 @@
     pub(crate) longest_try: Nanos,
 }
 
+impl ClassView {
+    /// A class of which nothing is known yet but its aim.
+    pub(crate) fn new(class: &ClassSettings) -> Self {
+        Self {
+            idle: class.aim as f64 / 16.0 * crate::policy::figures::IDLE_LOAD,
+            room: f64::INFINITY,
+            ..Self::default()
+        }
+    }
+}
+
 impl Zone {
     /// The own load as smoothed up to now.
     pub(crate) fn own_before(&self, now: Nanos, tau: Nanos) -> f64 {
@@ -351,6 +364,8 @@
     /// Whose load is asked for, where the settings let it be.
     pub(crate) probes: Option<Scheduler>,
     pub(crate) tally: Tally,
+    /// What the embedder knows better.
+    pub(crate) advice: Option<Box<dyn Advice>>,
 }
 
 impl Balancer {
--- a/src/view.rs
+++ b/src/view.rs
@@ -19,14 +19,9 @@
         let other = Zone { window: Window::new(WINDOW_AWAY, true), ..Zone::default() };
         let mut zones = vec![other; settings.zones as usize];
         zones[settings.home.0 as usize].window = Window::new(HANDFUL, false);
-        let view = |class: &ClassSettings| ClassView {
-            idle: class.aim as f64 / 16.0 * IDLE_LOAD,
-            room: f64::INFINITY,
-            ..Default::default()
-        };
         let least =
             settings.classes.iter().map(|class| class.aim as f64 / 16.0).fold(f64::INFINITY, f64::min);
-        let classes = settings.classes.iter().map(view).collect();
+        let classes = settings.classes.iter().map(ClassView::new).collect();
         let tenants = vec![Rate::default(); settings.tenants.len()];
         let probes = Self::scheduler(&settings, seed, now);
         let held = Held::new(settings.classes.len());
@@ -70,6 +65,7 @@
             share_at: 0,
             probes,
             tally: Tally::default(),
+            advice: None,
         })
     }
 
--- /dev/null
+++ b/system/src/cloud.rs
@@ -0,0 +1,150 @@
+//! Reads the platform's list of servers, page by page.
+
+use std::net::SocketAddrV4;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Empty, Limited};
+use hyper::client::conn::http1::{SendRequest, handshake};
+use hyper::header::HOST;
+use hyper::{Request, StatusCode};
+use hyper_util::rt::TokioIo;
+use ivyhatch_protocol::feed::Server;
+use serde::Deserialize;
+use tokio::task::spawn_local;
+use tokio::time::timeout;
+
+/// A call is answered within this, or given up.
+const CALL: Duration = Duration::from_millis(900);
+const LONGEST_PAGE: usize = 4 << 20;
+/// A list of more pages than this does not end.
+const MOST_PAGES: usize = 1000;
+
+/// Why there is no list.
+#[derive(Debug, thiserror::Error)]
+pub enum CloudError {
+    /// No connection, or one that broke.
+    #[error("the platform's list can't be reached: {0}")]
+    Unreached(String),
+    /// It says no.
+    #[error("the platform's list answers {0}: where it is 429, fewer may ask")]
+    Refused(StatusCode),
+    /// It says what is no list.
+    #[error("the platform's list can't be read: {0}")]
+    Unreadable(String),
+    /// It says nothing.
+    #[error("the platform's list does not answer in time")]
+    Late,
+}
+
+#[derive(Deserialize)]
+struct Page {
+    instances: Vec<Instance>,
+    next_token: Option<String>,
+}
+
+#[derive(Deserialize)]
+struct Instance {
+    id: String,
+    service: String,
+    address: String,
+    zone: String,
+    #[serde(default)]
+    slots: u32,
+    #[serde(default)]
+    state: String,
+    #[serde(default)]
+    cold_left_ms: f64,
+    #[serde(default)]
+    remaining_ms: Option<f64>,
+}
+
+impl From<Instance> for Server {
+    fn from(instance: Instance) -> Self {
+        Self {
+            id: instance.id,
+            service: instance.service,
+            address: instance.address,
+            zone: instance.zone,
+            slots: instance.slots,
+            // What is not said to be ready gets nothing new, whatever else it is called.
+            draining: instance.state != "ready",
+            cold_left_ms: instance.cold_left_ms.max(0.0) as u32,
+            remaining_ms: instance.remaining_ms.map(|left| left.max(0.0) as u32),
+        }
+    }
+}
+
+type Sender = SendRequest<Empty<Bytes>>;
+
+/// A reader, which keeps its connection.
+pub struct Cloud {
+    address: SocketAddrV4,
+    from: std::net::Ipv4Addr,
+    sender: Option<Sender>,
+}
+
+impl Cloud {
+    /// A reader of the list at this address.
+    pub fn new(from: std::net::Ipv4Addr, address: SocketAddrV4) -> Self {
+        Self { address, from, sender: None }
+    }
+
+    /// The whole list.
+    ///
+    /// # Errors
+    /// Where it does not come whole.
+    pub async fn read(&mut self) -> Result<Vec<Server>, CloudError> {
+        let (mut servers, mut token) = (Vec::new(), None);
+        for _ in 0..MOST_PAGES {
+            let page = self.page(token.as_deref()).await?;
+            servers.extend(page.instances.into_iter().map(Server::from));
+            token = page.next_token.filter(|token| !token.is_empty());
+            if token.is_none() {
+                return Ok(servers);
+            }
+        }
+        Err(CloudError::Unreadable("it has no last page".to_owned()))
+    }
+
+    async fn page(&mut self, token: Option<&str>) -> Result<Page, CloudError> {
+        let kept = self.sender.take().filter(|sender| !sender.is_closed());
+        let call = async {
+            let mut sender = match kept {
+                Some(sender) => sender,
+                None => self.connect().await?,
+            };
+            let unreached = |error: hyper::Error| CloudError::Unreached(error.to_string());
+            sender.ready().await.map_err(unreached)?;
+            let path = match token {
+                Some(token) => format!("/instances?page_token={token}"),
+                None => "/instances".to_owned(),
+            };
+            let request = Request::get(path).header(HOST, self.address.to_string()).body(Empty::new());
+            let request = request.map_err(|error| CloudError::Unreadable(error.to_string()))?;
+            let response = sender.send_request(request).await.map_err(unreached)?;
+            let status = response.status();
+            let body = Limited::new(response.into_body(), LONGEST_PAGE).collect().await;
+            let body = body.map_err(|error| CloudError::Unreadable(error.to_string()))?.to_bytes();
+            if status != StatusCode::OK {
+                return Err(CloudError::Refused(status));
+            }
+            let page = serde_json::from_slice(&body).map_err(|error| CloudError::Unreadable(error.to_string()))?;
+            Ok((sender, page))
+        };
+        let (sender, page) = timeout(CALL, call).await.map_err(|_| CloudError::Late)??;
+        self.sender = Some(sender);
+        Ok(page)
+    }
+
+    async fn connect(&self) -> Result<Sender, CloudError> {
+        let stream = crate::link::connect(self.from, self.address).await;
+        let stream = stream.map_err(|error| CloudError::Unreached(error.to_string()))?;
+        let made = handshake(TokioIo::new(stream)).await;
+        let (sender, connection) = made.map_err(|error| CloudError::Unreached(error.to_string()))?;
+        spawn_local(async move {
+            let _ = connection.await;
+        });
+        Ok(sender)
+    }
+}
--- /dev/null
+++ b/system/src/router/sessions.rs
@@ -0,0 +1,155 @@
+//! The router's sessions with control nodes: carries out what the follower decides.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::net::SocketAddrV4;
+use std::rc::Rc;
+use std::time::Duration;
+
+use ivyhatch_protocol::feed::{FromFollower, Router, RouterState, ToFollower};
+use ivyhatch_protocol::ids::NodeId;
+use ivyhatch_protocol::settings::Settings;
+use ivyhatch_routing::follow::{Done, Follower, Heard};
+use tokio::task::{JoinHandle, spawn_local};
+use tokio::time::{MissedTickBehavior, interval, sleep};
+
+use super::dispatch::Dispatcher;
+use crate::clock::Clock;
+use crate::link::{self, Writer};
+
+const TICK: Duration = Duration::from_millis(100);
+/// Wait before a session that has ended is opened anew.
+const AGAIN: Duration = Duration::from_millis(250);
+/// A control node that says nothing for so long has its session closed.
+const SILENT: Duration = Duration::from_millis(1800);
+
+struct Host {
+    follower: RefCell<Follower>,
+    clock: Clock,
+    writers: RefCell<BTreeMap<NodeId, Writer>>,
+    dialling: RefCell<BTreeMap<NodeId, JoinHandle<()>>>,
+    dispatcher: Dispatcher,
+    settings: Settings,
+}
+
+/// A handle on the sessions.
+pub struct Sessions(Rc<Host>);
+
+fn seeds(settings: &Settings) -> Vec<NodeId> {
+    settings.seeds.iter().map(|seed| NodeId::from(*seed.ip())).collect()
+}
+
+impl Sessions {
+    /// Starts to follow.
+    pub fn start(settings: &Settings, clock: Clock, router: Router, dispatcher: Dispatcher) -> Self {
+        let host = Rc::new(Host {
+            follower: RefCell::new(Follower::new(router, &seeds(settings), clock.now())),
+            clock,
+            writers: RefCell::default(),
+            dialling: RefCell::default(),
+            dispatcher,
+            settings: settings.clone(),
+        });
+        let ticking = host.clone();
+        spawn_local(async move {
+            let mut ticks = interval(TICK);
+            ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+            loop {
+                ticks.tick().await;
+                ticking.hear(Heard::Tick);
+            }
+        });
+        Self(host)
+    }
+
+    /// The router is so far.
+    pub fn state(&self, state: RouterState) {
+        self.0.hear(Heard::State(state));
+    }
+
+    /// Takes the seeds of a settings file that has changed.
+    pub fn reread(&self) {
+        match Settings::from_environment() {
+            Ok(settings) => {
+                log::info!("event=settings_read_anew seeds={}", settings.seeds.len());
+                self.0.hear(Heard::Seeds(seeds(&settings)));
+            }
+            Err(error) => log::warn!("event=old_settings_stay error={:?}", error.to_string()),
+        }
+    }
+}
+
+impl Host {
+    fn hear(self: &Rc<Self>, heard: Heard) {
+        let mut done = Vec::new();
+        self.follower.borrow_mut().handle(self.clock.now(), heard, &mut done);
+        let mut servers = false;
+        for done in done {
+            match done {
+                Done::Links(to) => self.dial(&to),
+                Done::Tell(to, message) => {
+                    let sent = self.writers.borrow().get(&to).map(|writer| writer.send::<FromFollower>(&message));
+                    if sent == Some(false) {
+                        self.writers.borrow_mut().remove(&to);
+                    }
+                }
+                Done::Configuration(change) => {
+                    self.dispatcher.configure(&change);
+                    servers = true;
+                }
+                Done::Servers => servers = true,
+                Done::Routers(routers) => self.dispatcher.set_routers(routers),
+                Done::Log(event, pairs) => log::info!("event={event} {pairs}"),
+            }
+        }
+        if servers {
+            let follower = self.follower.borrow();
+            let now = self.clock.now();
+            self.dispatcher.servers(follower.list().servers(now).collect(), |zone| follower.evacuation(zone));
+            let ready = follower.is_ready();
+            drop(follower);
+            if ready && self.dispatcher.become_ready() {
+                self.hear(Heard::State(RouterState::Ready));
+            }
+        }
+    }
+
+    fn dial(self: &Rc<Self>, to: &[NodeId]) {
+        let mut dialling = self.dialling.borrow_mut();
+        dialling.retain(|node, task| {
+            let wanted = to.contains(node);
+            if !wanted {
+                task.abort();
+                self.writers.borrow_mut().remove(node);
+            }
+            wanted
+        });
+        for node in to {
+            dialling.entry(*node).or_insert_with(|| spawn_local(self.clone().keep_session(*node)));
+        }
+    }
+
+    async fn keep_session(self: Rc<Self>, node: NodeId) {
+        let at = SocketAddrV4::new(node.ip(), self.settings.inner_ports.0 + 1);
+        loop {
+            let began = self.clock.now();
+            if let Ok(mut stream) = link::connect(self.settings.ip, at).await {
+                let (writer, mut queue) = Writer::new();
+                self.writers.borrow_mut().insert(node, writer);
+                self.hear(Heard::Linked(node, self.clock.now() - began));
+                let (mut reading, mut writing) = stream.split();
+                let take = |message: ToFollower| self.hear(Heard::Message(node, message));
+                let ended = tokio::select! {
+                    ended = link::read(&mut reading, SILENT, take) => ended,
+                    ended = queue.write_to(&mut writing) => ended.map_err(link::LinkError::from),
+                };
+                if let Err(error @ link::LinkError::Frame(_)) = ended {
+                    log::warn!("event=refused_control from={node} error={:?}", error.to_string());
+                }
+                self.writers.borrow_mut().remove(&node);
+            }
+            self.hear(Heard::Lost(node));
+            sleep(AGAIN).await;
+        }
+    }
+}
