Cold servers' shares wait until all routers are known

After a region was lost its routers and its control node came back together; the control node told few routers, and a router that has just started took nearly the whole bound for its share. Ruled out: the list's lag (the server was listed as cold), the window's length. Change: a control node tells the number of routers only when it has been in touch with its group for two seconds; until then a router's share is one request a second. Listed servers are logged one by one.

--- a/control/src/node.rs
+++ b/control/src/node.rs
@@ -41,6 +41,8 @@
 const LIST_LEFT: Nanos = 5 * SECOND;
 /// A follower that was silent for so long has its session closed.
 const SESSION_ENDS: Nanos = 4 * SECOND;
+/// So long after it has come into touch with its group a control node has heard of all routers.
+const SETTLED: Nanos = 2 * SECOND;
 /// The name of the duty to read the platform's list: it lies with the owner of the part into which this falls.
 const LIST_DUTY: &str = "platform-list";
 
@@ -223,7 +225,8 @@
     sessions_told: Nanos,
     recollection: Recollection,
     recalled: Nanos,
-    was_in_touch: bool,
+    /// Since when it is in touch with most of its group.
+    touch_since: Option<Nanos>,
     inbox: VecDeque<(NodeId, Peer)>,
 }
 
@@ -270,7 +273,7 @@
             sessions_told: 0,
             recollection: Recollection::default(),
             recalled: 0,
-            was_in_touch: false,
+            touch_since: None,
             inbox: VecDeque::new(),
             identity,
         }
@@ -428,8 +431,8 @@
             self.tell_sessions(out);
         }
         let in_touch = self.in_touch();
-        if in_touch != self.was_in_touch {
-            self.was_in_touch = in_touch;
+        if in_touch != self.touch_since.is_some() {
+            self.touch_since = in_touch.then_some(self.now);
             out.push(Action::Log("touch", format!("with_most={in_touch}")));
             self.beat_at = 0;
         }
@@ -889,6 +892,12 @@
         }
         if let Some(news) = self.list.read(self.now, epoch, servers) {
             self.log_list("read", out);
+            for server in news.upsert.iter().filter(|_| news.from.is_some()) {
+                let Server { id, zone, draining, cold_left_ms, .. } = server;
+                let left = server.remaining_ms.map_or_else(String::new, |left| format!(" remaining_ms={left}"));
+                let pairs = format!("id={id} zone={zone} draining={draining} cold_left_ms={cold_left_ms}{left}");
+                out.push(Action::Log("server", pairs));
+            }
             self.tell_all(&Peer::Servers(news), out);
         }
     }
@@ -990,7 +999,9 @@
         if due.is_empty() {
             return;
         }
-        let routers = self.routers.count() as u32;
+        // One that has just come, or is cut off, knows few of the routers: shares that follow from their number would be too large.
+        let settled = self.touch_since.is_some_and(|since| now >= since + SETTLED);
+        let routers = if settled { self.routers.count() as u32 } else { 0 };
         let mut controls: Vec<NodeId> = self.others.keys().copied().chain([self.identity.me]).collect();
         controls.sort_unstable();
         for id in due {
--- a/protocol/src/feed.rs
+++ b/protocol/src/feed.rs
@@ -134,7 +134,7 @@
         position: Position,
         /// Whether it is in touch with most of its group: what it tells is fresh then.
         in_touch: bool,
-        /// Routers that it knows of, directly or from others.
+        /// Routers that it knows of, directly or from others; 0 where it can't know of all.
         routers: u32,
         /// The control nodes that it knows.
         controls: Vec<NodeId>,
--- a/routing/src/follow.rs
+++ b/routing/src/follow.rs
@@ -196,7 +196,7 @@
                 if routers >= self.routers {
                     self.routers_at = now;
                 }
-                if routers > self.routers || now >= self.routers_at + COUNTED {
+                if routers > self.routers || (routers > 0 && now >= self.routers_at + COUNTED) {
                     (self.routers, self.routers_at) = (routers, now);
                     out.push(Done::Routers(routers));
                 }
--- a/routing/src/placement.rs
+++ b/routing/src/placement.rs
@@ -59,7 +59,8 @@
     regions: u32,
     is_model: bool,
     cold: Cold,
-    routers: u32,
+    /// Routers that share the servers; none as long as that is not known.
+    routers: Option<u32>,
     speed: Speed,
     servers: HashMap<BackendId, Server>,
     requests: HashMap<RequestId, Asked>,
@@ -77,7 +78,7 @@
             regions,
             is_model: false,
             cold: Cold::default(),
-            routers: 1,
+            routers: None,
             speed: Speed::default(),
             servers: HashMap::new(),
             requests: HashMap::new(),
@@ -91,7 +92,7 @@
 
     /// So many routers share what cold servers bear.
     pub fn set_routers(&mut self, routers: u32) {
-        self.routers = routers.max(1);
+        self.routers = Some(routers.max(1));
     }
 
     /// A server is listed, and cold for so long.
@@ -190,7 +191,8 @@
 
     /// Requests a second that this router may send to a cold server.
     fn cold_share(&self) -> usize {
-        ((self.cold.per_s * COLD_PART / f64::from(self.routers)) as usize).max(1)
+        let share = |routers| (self.cold.per_s * COLD_PART / f64::from(routers)) as usize;
+        self.routers.map_or(1, share).max(1)
     }
 
     fn unread(&self, now: Nanos, request: RequestId, to: BackendId) -> u32 {
--- a/system/src/router/dispatch.rs
+++ b/system/src/router/dispatch.rs
@@ -47,6 +47,9 @@
 /// With more routers a region than this the design would take each for one that sees next to nothing; servers tell their load.
 const MOST_ROUTERS_A_REGION: u32 = 8;
 
+/// As long as their number is not known.
+const USUAL_ROUTERS_A_REGION: u32 = 4;
+
 /// A service's number.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Service(u32);
@@ -188,7 +191,8 @@
     bounds: Bounds,
     table: Table,
     ready: bool,
-    routers: u32,
+    /// None as long as it is not known.
+    routers: Option<u32>,
     names: HashMap<Rc<str>, Service>,
     services: BTreeMap<Service, Balanced>,
     requests: HashMap<RequestId, Open>,
@@ -245,7 +249,7 @@
             bounds: settings.bounds,
             table: Table::default(),
             ready: false,
-            routers: 1,
+            routers: None,
             names: HashMap::new(),
             services: BTreeMap::new(),
             requests: HashMap::new(),
@@ -422,11 +426,12 @@
     }
 
     fn nodes(&self) -> u32 {
-        self.routers.clamp(1, MOST_ROUTERS_A_REGION * self.regions.len().max(1) as u32)
+        let regions = self.regions.len().max(1) as u32;
+        self.routers.unwrap_or(USUAL_ROUTERS_A_REGION * regions).clamp(1, MOST_ROUTERS_A_REGION * regions)
     }
 
     fn set_routers(&mut self, routers: u32) {
-        self.routers = routers.max(1);
+        self.routers = Some(routers.max(1));
         let nodes = self.nodes();
         for service in self.services.values_mut() {
             service.balancer.set_nodes(nodes);
@@ -457,7 +462,9 @@
         let Ok(mut balancer) = Balancer::new(settings, seed, now) else { return id };
         balancer.handle(now, Event::Start, &mut Vec::new());
         let placement = Rc::new(RefCell::new(Placement::new(self.home, regions)));
-        placement.borrow_mut().set_routers(self.routers);
+        if let Some(routers) = self.routers {
+            placement.borrow_mut().set_routers(routers);
+        }
         balancer.advise(Box::new(Shared(placement.clone())));
         self.names.insert(name.clone(), id);
         let balanced = Balanced {
