Restarted control nodes tell at once what was decided; unreached servers are left alone

Requests whose server could not be reached spent the budget for repeats, though nothing had arrived anywhere. Change: decided changes are marked on the disk and told right after the start; a list is read once right after the start under the lowest epoch; links are tried for 0.25 s first; a request waits 0.15 s for a router that is not ready; a server that could not be reached is left alone for 0.25 s, doubling; what reached nobody costs no repeat.

--- a/control/src/lib.rs
+++ b/control/src/lib.rs
@@ -30,4 +30,7 @@
     Promised(Part, Epoch),
     /// What a part was set to, and that lower epochs are refused.
     Accepted(Part, Accepted),
+    /// What a part was set to under this epoch, as its change of this number, is decided: it may be told to all who follow without
+    /// asking anybody.
+    Decided(Part, Epoch, u64),
 }
--- a/control/src/node.rs
+++ b/control/src/node.rs
@@ -233,7 +233,7 @@
 impl Node {
     /// A control node with what its disk holds.
     pub fn new(identity: Identity, stored: Stored, now: Nanos) -> Self {
-        let Stored { group, parts: mut kept } = stored;
+        let Stored { group, parts: mut kept, decided } = stored;
         let standing = match (&group, identity.first_start) {
             (Some(group), _) if group.members.contains(&identity.me) => Standing::Member,
             (_, true) => Standing::Fresh,
@@ -246,7 +246,7 @@
             (part, register)
         };
         let registers = Part::all().map(register).collect();
-        Self {
+        let mut node = Self {
             now,
             started: now,
             group,
@@ -276,7 +276,17 @@
             touch_since: None,
             inbox: VecDeque::new(),
             identity,
+        };
+        // What was decided before the start is told at once: whoever follows need not wait until the group has come together.
+        for (part, (epoch, sequence)) in decided {
+            let known = node.registers.get_mut(&part).and_then(|register| register.recognise(epoch, sequence));
+            let state = known.and_then(|decided| State::read(part, &decided.value));
+            if let Some(state) = state {
+                node.feed.decided(part, sequence, &state);
+                node.states.insert(part, state);
+            }
         }
+        node
     }
 
     /// Takes one event in and adds what is to be done.
@@ -701,6 +711,10 @@
         }
         self.feed.decided(part, sequence, &state);
         self.states.insert(part, state);
+        let kept = self.registers.get(&part).and_then(|register| register.kept().accepted.as_ref());
+        if self.votes() && kept.is_some_and(|kept| kept.epoch == epoch && kept.sequence == sequence) {
+            self.store(vec![Record::Decided(part, epoch, sequence)], Vec::new(), out);
+        }
         if self.owns(part) != Some(epoch) {
             return;
         }
@@ -870,6 +884,15 @@
     }
 
     fn read_list(&mut self, out: &mut Vec<Action>) {
+        // Right after its start a node reads the list once by itself, for those who follow it: until the group has come together
+        // nobody has the duty. Its epoch is the lowest of all, so that the first reader's list takes its place.
+        if self.list.position() == List::default().position() && self.reader.epoch == Epoch::default() {
+            if !self.reader.reading && self.now >= self.reader.next {
+                self.reader.reading = true;
+                self.reader.next = self.now + SECOND;
+                out.push(Action::ReadList);
+            }
+        }
         let owned = self.owns(Part::of(LIST_DUTY)).filter(|_| self.in_touch());
         let Some(epoch) = owned else { return };
         if epoch != self.reader.epoch {
@@ -887,6 +910,12 @@
         self.reader.reading = false;
         self.reader.failures = 0;
         let epoch = self.reader.epoch;
+        let first = epoch == Epoch::default() && self.list.position() == List::default().position();
+        if first && !servers.is_empty() {
+            self.list.read(self.now, epoch, servers);
+            self.log_list("first", out);
+            return;
+        }
         if self.owns(Part::of(LIST_DUTY)) != Some(epoch) {
             return;
         }
--- a/control/src/register.rs
+++ b/control/src/register.rs
@@ -73,6 +73,13 @@
         Self { me, life, members: Vec::new(), kept, decided: None, ownership: Ownership::None, counter }
     }
 
+    /// What is kept is known to be decided, if it was set under this epoch, as the change of this number.
+    pub fn recognise(&mut self, epoch: Epoch, sequence: u64) -> Option<Accepted> {
+        let same = |kept: &&Accepted| kept.epoch == epoch && kept.sequence == sequence;
+        self.decided = self.kept.accepted.as_ref().filter(same).cloned();
+        self.decided.clone()
+    }
+
     /// Sets who decides. Called before anything is decided.
     pub fn set_members(&mut self, members: &[NodeId]) {
         self.members = members.to_vec();
--- a/control/src/stored.rs
+++ b/control/src/stored.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use ivyhatch_protocol::ids::Part;
+use ivyhatch_protocol::ids::{Epoch, Part};
 use ivyhatch_protocol::peer::{Group, Kept};
 
 use crate::Record;
@@ -14,6 +14,8 @@
     pub group: Option<Group>,
     /// Part by part.
     pub parts: BTreeMap<Part, Kept>,
+    /// Part by part, the epoch and number of the last change that is known to be decided.
+    pub decided: BTreeMap<Part, (Epoch, u64)>,
 }
 
 impl Stored {
@@ -30,6 +32,7 @@
                 kept.promised = kept.promised.max(accepted.epoch);
                 kept.accepted = Some(accepted);
             }
+            Record::Decided(part, epoch, sequence) => drop(self.decided.insert(part, (epoch, sequence))),
         }
     }
 
@@ -38,7 +41,8 @@
         let group = self.group.clone().map(Record::Group);
         let part = |(part, kept): (&Part, &Kept)| {
             let accepted = kept.accepted.clone().map(|accepted| Record::Accepted(*part, accepted));
-            accepted.into_iter().chain([Record::Promised(*part, kept.promised)])
+            let decided = self.decided.get(part).map(|(epoch, sequence)| Record::Decided(*part, *epoch, *sequence));
+            accepted.into_iter().chain([Record::Promised(*part, kept.promised)]).chain(decided)
         };
         group.into_iter().chain(self.parts.iter().flat_map(part)).collect()
     }
--- a/protocol/src/servers.rs
+++ b/protocol/src/servers.rs
@@ -89,7 +89,7 @@
         }
         let mut lines: BTreeMap<String, Line> =
             servers.into_iter().map(|server| (server.id.clone(), Line::new(server, now))).collect();
-        if epoch != self.epoch {
+        if epoch != self.epoch || self.number == 0 {
             self.epoch = epoch;
             (self.number, self.lines) = (1, lines);
             self.steps.clear();
--- a/routing/src/placement.rs
+++ b/routing/src/placement.rs
@@ -20,6 +20,9 @@
 /// all.
 const PATIENCE: f64 = 1.25;
 
+/// A server that could not be reached is left alone for so long; twice as long each time, up to 2^4.
+const UNREACHED: Nanos = 250 * MILLISECOND;
+
 /// Regions as bits; the deployment's regions are numbered.
 pub type Regions = u64;
 
@@ -40,6 +43,9 @@
     sends: VecDeque<Nanos>,
     engine: Engine,
     kept: Kept,
+    /// Times in a row that it could not be reached, and until when it is left alone for that.
+    unreached: u32,
+    left_until: Nanos,
 }
 
 #[derive(Debug)]
@@ -143,6 +149,9 @@
         let unread = self.unread(now, request, to);
         let Some(server) = self.servers.get_mut(&to) else { return };
         server.sends.push_back(now);
+        if server.unreached > 0 {
+            server.left_until = server.left_until.max(now + UNREACHED);
+        }
         while server.sends.front().is_some_and(|at| now >= at + COLD_SPAN) {
             server.sends.pop_front();
         }
@@ -171,6 +180,21 @@
         }
     }
 
+    /// A server could not be reached. It is left alone for a while, then tried by one request at a time.
+    pub fn unreached(&mut self, now: Nanos, of: BackendId) {
+        if let Some(server) = self.servers.get_mut(&of) {
+            server.left_until = now + (UNREACHED << server.unreached.min(4));
+            server.unreached += 1;
+        }
+    }
+
+    /// A server has answered.
+    pub fn reached(&mut self, of: BackendId) {
+        if let Some(server) = self.servers.get_mut(&of) {
+            (server.unreached, server.left_until) = (0, 0);
+        }
+    }
+
     /// A request's attempt has ended.
     pub fn settled(&mut self, request: RequestId) {
         let Some(asked) = self.requests.get_mut(&request) else { return };
@@ -213,6 +237,9 @@
         if server.region < 64 && asked.homes & (1 << server.region) == 0 {
             return false;
         }
+        if now < server.left_until {
+            return false;
+        }
         if now < server.cold_until && placement.cold.per_s > 0.0 {
             let recent = server.sends.iter().filter(|at| now < *at + COLD_SPAN).count();
             if recent >= placement.cold_share() {
--- a/src/advice.rs
+++ b/src/advice.rs
@@ -77,6 +77,15 @@
         request.attempts.len() - unsent < most as usize && (unsent as f64) < HANDFUL
     }
 
+    /// What one more attempt costs of the budget for repeats: nothing where the last one reached nobody.
+    pub(crate) fn retry_cost(&self, request: &Request) -> f64 {
+        let unsent = |attempt: &Attempt| {
+            matches!(attempt.outcome, Some(Outcome::ConnectFailed | Outcome::Moot))
+        };
+        let bounded = self.settings.classes[request.class].attempts.is_some();
+        if bounded && request.attempts.last().is_some_and(unsent) { 0.0 } else { 1.0 }
+    }
+
     /// How long a request that was never sent may be held.
     pub(crate) fn patience(&self, class: usize, wait: Nanos) -> Nanos {
         self.settings.classes[class].patience.unwrap_or(wait / 2).min(wait)
--- a/src/policy/retries.rs
+++ b/src/policy/retries.rs
@@ -20,7 +20,8 @@
         let late = self.too_late(request);
         // What was turned away at once has cost little: its first retry is free.
         let unseen = request.attempts.len() == 1 && !request.attempts[0].may_have_run();
-        let again = (self.retry_tokens >= 1.0 || (unseen && self.many())) && !late;
+        let cost = self.retry_cost(request);
+        let again = (self.retry_tokens >= cost || (unseen && self.many())) && !late;
         let pause = if late { self.settings.limits.retry_after } else { 0 };
         if !again
             || !self.may_go(request)
@@ -30,7 +31,7 @@
             return;
         }
         // Where no backend has room this moment it is held: most have some before the aim has passed.
-        self.retry_tokens = (self.retry_tokens - 1.0).max(0.0);
+        self.retry_tokens = (self.retry_tokens - cost).max(0.0);
         self.dispatch(id, actions);
     }
 }
--- a/system/src/cloud.rs
+++ b/system/src/cloud.rs
@@ -138,7 +138,7 @@
     }
 
     async fn connect(&self) -> Result<Sender, CloudError> {
-        let stream = crate::link::connect(self.from, self.address).await;
+        let stream = crate::link::connect(self.from, self.address, 1).await;
         let stream = stream.map_err(|error| CloudError::Unreached(error.to_string()))?;
         let made = handshake(TokioIo::new(stream)).await;
         let (sender, connection) = made.map_err(|error| CloudError::Unreached(error.to_string()))?;
--- a/system/src/control.rs
+++ b/system/src/control.rs
@@ -32,7 +32,7 @@
 /// Pause between two ticks.
 const TICK: Duration = Duration::from_millis(100);
 /// Wait before a link that has ended is opened anew.
-const LINK_AGAIN: Duration = Duration::from_millis(200);
+const LINK_AGAIN: Duration = Duration::from_millis(100);
 /// A control node that says nothing for so long has its connection closed: what comes later on it may be old.
 const PEER_SILENT: Duration = Duration::from_millis(1300);
 /// A follower has its connection closed after this.
@@ -204,8 +204,10 @@
 
     async fn keep_link(self: Rc<Self>, node: NodeId) {
         let at = SocketAddrV4::new(node.ip(), self.settings.inner_ports.0);
+        let mut tries = 0;
         loop {
-            if let Ok(mut stream) = link::connect(self.settings.ip, at).await {
+            if let Ok(mut stream) = link::connect(self.settings.ip, at, tries).await {
+                tries = 0;
                 let (writer, mut queue) = Writer::new();
                 self.peers.borrow_mut().insert(node, writer);
                 self.hear(Event::Linked(node));
@@ -217,6 +219,8 @@
                     _ = reading.read(&mut scrap) => {}
                 }
                 self.peers.borrow_mut().remove(&node);
+            } else {
+                tries += 1;
             }
             sleep(LINK_AGAIN).await;
         }
--- a/system/src/link.rs
+++ b/system/src/link.rs
@@ -13,8 +13,10 @@
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
 use tokio::time::timeout;
 
-/// A connection that is not up by then is tried anew: behind a cut nothing answers.
-const CONNECT: Duration = Duration::from_millis(700);
+/// A connection that is not up by then is tried anew: behind a cut, or before its machine is up, nothing answers. Short first, so
+/// that those who start together find each other; longer each time, up to three times, where the way is long.
+const CONNECT: Duration = Duration::from_millis(250);
+const LONGER: u32 = 3;
 /// A write that was not taken for so long ends the connection.
 const WRITE: Duration = Duration::from_millis(1500);
 /// Unanswered bytes end a connection after this, also where nothing more is written.
@@ -35,14 +37,14 @@
     socket.listen(BACKLOG)
 }
 
-/// Connects from this machine's own address: by it the other side knows who calls.
+/// Connects from this machine's own address: by it the other side knows who calls. `tries` counts those before.
 ///
 /// # Errors
 /// Where no connection comes about in time.
-pub async fn connect(from: Ipv4Addr, to: SocketAddrV4) -> std::io::Result<TcpStream> {
+pub async fn connect(from: Ipv4Addr, to: SocketAddrV4, tries: u32) -> std::io::Result<TcpStream> {
     let socket = TcpSocket::new_v4()?;
     socket.bind(SocketAddrV4::new(from, 0).into())?;
-    let stream = timeout(CONNECT, socket.connect(to.into())).await??;
+    let stream = timeout(CONNECT * 2_u32.pow(tries % LONGER), socket.connect(to.into())).await??;
     tune(&stream);
     Ok(stream)
 }
--- a/system/src/router/clients.rs
+++ b/system/src/router/clients.rs
@@ -40,7 +40,9 @@
 /// must not cross its closing.
 const KEEP_MARGIN_S: u64 = 2;
 /// A router that is new to its work asks clients to come again after this.
-const NOT_READY: &str = "0.3";
+const NOT_READY: &str = "0.2";
+/// A router that has just started is ready within so long as a rule: a request waits for it as long as a refusal is still early.
+const READY_SOON: Duration = Duration::from_millis(150);
 
 /// Answers clients.
 pub struct Clients {
@@ -99,7 +101,7 @@
         }
         let id = single(&head.headers, ATTEMPT_ID).ok_or(BadRequest::Header(ATTEMPT_ID))?.to_owned();
         let host = single(&head.headers, "host").or_else(|| head.uri.host()).ok_or(BadRequest::Header("host"))?;
-        if !self.dispatcher.is_ready() {
+        if !self.dispatcher.readied(READY_SOON).await {
             return Err(BadRequest::NotReady);
         }
         let route = self.dispatcher.route(host, head.uri.path()).ok_or(BadRequest::NoRoute)?;
--- a/system/src/router/dispatch.rs
+++ b/system/src/router/dispatch.rs
@@ -218,6 +218,7 @@
     upstream: Rc<Upstream>,
     seats: Rc<Seats>,
     timer: Rc<Notify>,
+    readied: Rc<Notify>,
     clock: Clock,
 }
 
@@ -258,7 +259,8 @@
             random: seed,
             timers: BTreeSet::new(),
         };
-        Self { inner: Rc::new(RefCell::new(inner)), upstream, seats, timer: Rc::default(), clock }
+        let inner = Rc::new(RefCell::new(inner));
+        Self { inner, upstream, seats, timer: Rc::default(), readied: Rc::default(), clock }
     }
 
     /// The present.
@@ -273,7 +275,19 @@
 
     /// From now on requests are taken. Whether they were not before.
     pub fn become_ready(&self) -> bool {
-        !std::mem::replace(&mut self.inner.borrow_mut().ready, true)
+        let first = !std::mem::replace(&mut self.inner.borrow_mut().ready, true);
+        if first {
+            self.readied.notify_waiters();
+        }
+        first
+    }
+
+    /// Waits until requests are taken, for so long at most. Whether they are.
+    pub async fn readied(&self, within: Duration) -> bool {
+        if !self.is_ready() {
+            let _ = tokio::time::timeout(within, self.readied.notified()).await;
+        }
+        self.is_ready()
     }
 
     /// Requests that are owed an answer, or whose stream is under way.
@@ -726,6 +740,11 @@
             if whole {
                 placement.begun(now, ticket.request, took);
             }
+            match outcome {
+                Outcome::ConnectFailed => placement.unreached(now, ticket.backend),
+                Outcome::Served | Outcome::Full | Outcome::Error => placement.reached(ticket.backend),
+                _ => {}
+            }
             placement.settled(ticket.request);
         }
         if whole {
--- a/system/src/router/sessions.rs
+++ b/system/src/router/sessions.rs
@@ -19,7 +19,7 @@
 
 const TICK: Duration = Duration::from_millis(100);
 /// Wait before a session that has ended is opened anew.
-const AGAIN: Duration = Duration::from_millis(250);
+const AGAIN: Duration = Duration::from_millis(100);
 /// A control node that says nothing for so long has its session closed.
 const SILENT: Duration = Duration::from_millis(1800);
 
@@ -131,9 +131,11 @@
 
     async fn keep_session(self: Rc<Self>, node: NodeId) {
         let at = SocketAddrV4::new(node.ip(), self.settings.inner_ports.0 + 1);
+        let mut tries = 0;
         loop {
             let began = self.clock.now();
-            if let Ok(mut stream) = link::connect(self.settings.ip, at).await {
+            if let Ok(mut stream) = link::connect(self.settings.ip, at, tries).await {
+                tries = 0;
                 let (writer, mut queue) = Writer::new();
                 self.writers.borrow_mut().insert(node, writer);
                 self.hear(Heard::Linked(node, self.clock.now() - began));
@@ -147,6 +149,8 @@
                     log::warn!("event=refused_control from={node} error={:?}", error.to_string());
                 }
                 self.writers.borrow_mut().remove(&node);
+            } else {
+                tries += 1;
             }
             self.hear(Heard::Lost(node));
             sleep(AGAIN).await;
