Shared parts are kept together; silent servers are looked at; last resort out of touch

(2) a stream at a server that has gone dark waited until its client gave it up. Change: the floor is learned by region, shared parts that would be read again weigh four times their time; a silent server is looked at by one connection (kept for the next request), and what may go on elsewhere does; routers that hear no control node in touch send to evacuated servers what no other server can be reached for, within the bound of cold ones; repeats saved up follow the deployment's slack.

--- a/routing/src/engine.rs
+++ b/routing/src/engine.rs
@@ -26,18 +26,30 @@
 /// Weight of a sample in the mean wait, and in the mean prompt.
 const MEAN: f64 = 0.1;
 
-/// What is known of a service's engines, all alike.
-#[derive(Clone, Copy, Debug)]
+/// What is known of a service's engines, all alike but for the way to them.
+#[derive(Clone, Debug)]
 pub struct Speed {
     /// Prompt tokens that are read in a nanosecond.
     rate: f64,
     /// Mean tokens of a prompt that have to be read.
     mean: f64,
+    /// Time of a short prompt's first token, on the way included, by region.
+    floors: Vec<f64>,
 }
 
-impl Default for Speed {
-    fn default() -> Self {
-        Self { rate: RATE / MILLISECOND as f64, mean: 2000.0 }
+impl Speed {
+    /// Nothing is known yet of the engines in so many regions.
+    pub fn new(regions: u32) -> Self {
+        Self { rate: RATE / MILLISECOND as f64, mean: 2000.0, floors: vec![FLOOR; regions as usize + 1] }
+    }
+
+    fn floor(&self, region: u32) -> f64 {
+        self.floors.get(region as usize).copied().unwrap_or(FLOOR)
+    }
+
+    /// The time that reading so many tokens takes, in nanoseconds.
+    pub fn reading(&self, tokens: u32) -> f64 {
+        f64::from(tokens) / self.rate
     }
 }
 
@@ -73,8 +85,6 @@
     unread: f64,
     /// Own sends that have not ended.
     own: u32,
-    /// Time of a short prompt's first token, on the way included.
-    floor: f64,
     /// Mean time that a prompt waited for others.
     wait: f64,
     told: Load,
@@ -83,18 +93,18 @@
 
 impl Default for Engine {
     fn default() -> Self {
-        Self { unread: 0.0, own: 0, floor: FLOOR, wait: 0.0, told: Load::default(), told_at: None }
+        Self { unread: 0.0, own: 0, wait: 0.0, told: Load::default(), told_at: None }
     }
 }
 
 impl Engine {
-    /// Expected time to the first token of a prompt of which so many tokens have to be read, in nanoseconds.
-    pub fn delay(&self, now: Nanos, speed: &Speed, unread: u32) -> f64 {
+    /// Expected time to the first token of a prompt of which so many tokens have to be read there, in nanoseconds.
+    pub fn delay(&self, now: Nanos, speed: &Speed, region: u32, unread: u32) -> f64 {
         let fresh = self.told_at.map_or(0.0, |at| {
             1.0 - (now.saturating_sub(at) as f64 / TOLD as f64).min(1.0)
         });
         let others = self.told.waiting * speed.mean * fresh;
-        self.floor + (self.unread.max(others) + f64::from(unread)) / speed.rate
+        speed.floor(region) + (self.unread.max(others) + f64::from(unread)) / speed.rate
     }
 
     /// Own sends that have not ended.
@@ -126,12 +136,13 @@
         (self.told, self.told_at) = (load, Some(now));
     }
 
-    /// Learns from a first token that took this long.
-    pub fn learn(&mut self, speed: &mut Speed, unread: u32, took: Nanos) {
+    /// Learns from a first token that took this long, from a server in this region.
+    pub fn learn(&mut self, speed: &mut Speed, region: u32, unread: u32, took: Nanos) {
         let took = took as f64;
         let tokens = f64::from(unread);
-        if unread >= TELLING && took > self.floor {
-            let rate = tokens / (took - self.floor);
+        let mut floor = speed.floor(region);
+        if unread >= TELLING && took > floor {
+            let rate = tokens / (took - floor);
             let weight = if rate > speed.rate { RATE_RISES } else { RATE_FALLS };
             speed.rate += (rate - speed.rate) * weight;
             let (least, most) = RATES;
@@ -139,9 +150,12 @@
         }
         speed.mean += (tokens - speed.mean) * MEAN;
         let bare = (took - tokens / speed.rate).max(0.0);
-        let weight = if bare < self.floor { FLOOR_FALLS } else { FLOOR_RISES };
-        self.floor += (bare - self.floor) * weight;
-        let waited = (bare - self.floor).max(0.0);
+        let weight = if bare < floor { FLOOR_FALLS } else { FLOOR_RISES };
+        floor += (bare - floor) * weight;
+        if let Some(known) = speed.floors.get_mut(region as usize) {
+            *known = floor;
+        }
+        let waited = (bare - floor).max(0.0);
         self.wait += (waited - self.wait) * MEAN;
     }
 
--- a/routing/src/follow.rs
+++ b/routing/src/follow.rs
@@ -26,6 +26,9 @@
 /// of a control node that has been cut off.
 const COUNTED: Nanos = 30 * SECOND;
 
+/// A router that has heard no control node in touch with its group for so long can't know what is ordered now.
+const OUT_OF_TOUCH: Nanos = SECOND;
+
 /// What the follower hears.
 #[derive(Debug)]
 pub enum Heard {
@@ -56,6 +59,8 @@
     Servers,
     /// So many routers are known of.
     Routers(u32),
+    /// Whether any control node that is in touch with its group can be heard.
+    Touch(bool),
     /// A line for the log: the event's name, and its key=value pairs.
     Log(&'static str, String),
 }
@@ -88,6 +93,8 @@
     list: List,
     routers: u32,
     routers_at: Nanos,
+    touched: Nanos,
+    touch: bool,
 }
 
 impl Follower {
@@ -106,6 +113,8 @@
             list: List::default(),
             routers: 0,
             routers_at: now,
+            touched: now,
+            touch: true,
         }
     }
 
@@ -140,6 +149,7 @@
         self.choose_links(out);
         self.choose_primary(out);
         self.ask_for_more(out);
+        self.note_touch(out);
         if self.now >= self.beat_at + BEAT {
             self.beat(out);
         }
@@ -292,6 +302,20 @@
         }
     }
 
+    /// Whether the router can know what is ordered now.
+    fn note_touch(&mut self, out: &mut Vec<Done>) {
+        let now = self.now;
+        let good = |link: &Link| link.open.is_some() && link.in_touch && now < link.heard + SILENT;
+        if self.links.values().any(good) {
+            self.touched = now;
+        }
+        let touch = now < self.touched + OUT_OF_TOUCH;
+        if std::mem::replace(&mut self.touch, touch) != touch {
+            out.push(Done::Log("touch", format!("with_control={touch}")));
+            out.push(Done::Touch(touch));
+        }
+    }
+
     /// Asks others for what the primary one does not bring in time.
     fn ask_for_more(&mut self, out: &mut Vec<Done>) {
         let now = self.now;
--- a/routing/src/placement.rs
+++ b/routing/src/placement.rs
@@ -23,6 +23,9 @@
 /// A server that could not be reached is left alone for so long; twice as long each time, up to 2^4.
 const UNREACHED: Nanos = 250 * MILLISECOND;
 
+/// Weight of the time for which a prompt's shared parts would be read again, against waiting: it is waited for by others as well.
+const READ_AGAIN: f64 = 4.0;
+
 /// Regions as bits; the deployment's regions are numbered.
 pub type Regions = u64;
 
@@ -46,6 +49,7 @@
     /// Times in a row that it could not be reached, and until when it is left alone for that.
     unreached: u32,
     left_until: Nanos,
+    last_resort: bool,
 }
 
 #[derive(Debug)]
@@ -85,7 +89,7 @@
             is_model: false,
             cold: Cold::default(),
             routers: None,
-            speed: Speed::default(),
+            speed: Speed::new(regions),
             servers: HashMap::new(),
             requests: HashMap::new(),
         }
@@ -101,12 +105,14 @@
         self.routers = Some(routers.max(1));
     }
 
-    /// A server is listed, and cold for so long.
-    pub fn listed(&mut self, id: BackendId, name: &str, region: u32, cold_until: Nanos) {
+    /// A server is listed, and cold for so long. A `last_resort` stands in a zone that was evacuated when that could be known last:
+    /// it gets what no other server can be reached for, as if it were cold.
+    pub fn listed(&mut self, id: BackendId, name: &str, region: u32, cold_until: Nanos, last_resort: bool) {
         let server = self.servers.entry(id).or_default();
         server.region = region;
         server.lot = ivyhatch_protocol::ids::hash(name.as_bytes());
         server.cold_until = server.cold_until.max(cold_until);
+        server.last_resort = last_resort;
     }
 
     /// A server may have turned cold just now.
@@ -175,7 +181,7 @@
         *begun = true;
         if let Some(server) = self.servers.get_mut(to) {
             server.engine.begun(*unread);
-            server.engine.learn(&mut self.speed, *unread, took);
+            server.engine.learn(&mut self.speed, server.region, *unread, took);
             server.kept.read(now, &asked.prompt);
         }
     }
@@ -224,8 +230,7 @@
         let own = server.kept.unread(now, &asked.prompt);
         // Others have sent the like there, if they look for it where this router does.
         let first = asked.first.get(server.region as usize).copied().flatten() == Some(to);
-        let last = asked.prompt.parts.last().map_or(asked.prompt.tokens, |(_, tokens)| *tokens);
-        if first { own.min(last) } else { own }
+        if first { own.min(asked.prompt.own()) } else { own }
     }
 }
 
@@ -240,7 +245,15 @@
         if now < server.left_until {
             return false;
         }
-        if now < server.cold_until && placement.cold.per_s > 0.0 {
+        if server.last_resort {
+            let can = |other: &Server| {
+                !other.last_resort && other.unreached == 0 && (other.region >= 64 || asked.homes & (1 << other.region) != 0)
+            };
+            if placement.servers.values().any(can) {
+                return false;
+            }
+        }
+        if (now < server.cold_until || server.last_resort) && placement.cold.per_s > 0.0 {
             let recent = server.sends.iter().filter(|at| now < *at + COLD_SPAN).count();
             if recent >= placement.cold_share() {
                 return false;
@@ -250,13 +263,17 @@
             return true;
         }
         let unread = placement.unread(now, request, backend);
-        server.engine.delay(now, &placement.speed, unread) <= PATIENCE * asked.aim as f64
+        server.engine.delay(now, &placement.speed, server.region, unread) <= PATIENCE * asked.aim as f64
     }
 
     fn delay(&self, now: Nanos, request: RequestId, backend: BackendId) -> Option<f64> {
         let placement = self.0.borrow();
         let server = placement.servers.get(&backend).filter(|_| placement.is_model)?;
-        Some(server.engine.delay(now, &placement.speed, placement.unread(now, request, backend)))
+        let unread = placement.unread(now, request, backend);
+        let last = placement.requests.get(&request).map_or(unread, |asked| asked.prompt.own());
+        // What others have read already is work done twice: it weighs more than the time that it takes.
+        let again = READ_AGAIN * placement.speed.reading(unread.saturating_sub(last));
+        Some(server.engine.delay(now, &placement.speed, server.region, unread) + again)
     }
 
     fn may_stay(&self, request: RequestId) -> bool {
--- a/routing/src/prompt.rs
+++ b/routing/src/prompt.rs
@@ -38,6 +38,11 @@
         Self { parts, tokens, out: counts.next().flatten().unwrap_or(0) }
     }
 
+    /// Tokens of its own: of the last part, which no other request shares.
+    pub fn own(&self) -> u32 {
+        self.parts.last().map_or(self.tokens, |(_, tokens)| *tokens)
+    }
+
     /// The part by which its requests are best kept together: the last one that others share.
     pub fn shared(&self) -> Option<u64> {
         let last = self.parts.len().checked_sub(2)?;
--- a/src/advice.rs
+++ b/src/advice.rs
@@ -29,6 +29,12 @@
         self.settings.nodes = nodes.max(1);
     }
 
+    /// So many repeats may be saved up from now on, where all nodes together have a bound of their own.
+    pub fn set_retries_saved(&mut self, saved: f64) {
+        self.saved = Some(saved.max(0.0));
+        self.retry_tokens = self.retry_tokens.min(self.retries_saved());
+    }
+
     /// A class more; its number is the next one.
     pub fn add_class(&mut self, class: ClassSettings) -> ClassId {
         let id = ClassId(self.classes.len() as u32);
--- a/src/policy/retries.rs
+++ b/src/policy/retries.rs
@@ -7,8 +7,8 @@
 
 impl Balancer {
     /// Most retries that a node may save up: many nodes together must not save a storm.
-    pub(super) fn retries_saved(&self) -> f64 {
-        (RETRY_SAVED / self.crowd()).max(1.0)
+    pub(crate) fn retries_saved(&self) -> f64 {
+        self.saved.unwrap_or((RETRY_SAVED / self.crowd()).max(1.0))
     }
 
     /// After an attempt that did not serve: again, where the gate and the retry budget let it.
--- a/src/state.rs
+++ b/src/state.rs
@@ -364,6 +364,8 @@
     /// Whose load is asked for, where the settings let it be.
     pub(crate) probes: Option<Scheduler>,
     pub(crate) tally: Tally,
+    /// Repeats that may be saved up, where the embedder says so.
+    pub(crate) saved: Option<f64>,
     /// What the embedder knows better.
     pub(crate) advice: Option<Box<dyn Advice>>,
 }
--- a/src/view.rs
+++ b/src/view.rs
@@ -65,6 +65,7 @@
             share_at: 0,
             probes,
             tally: Tally::default(),
+            saved: None,
             advice: None,
         })
     }
--- a/system/src/router/dispatch.rs
+++ b/system/src/router/dispatch.rs
@@ -47,6 +47,11 @@
 /// With more routers a region than this the design would take each for one that sees next to nothing; servers tell their load.
 const MOST_ROUTERS_A_REGION: u32 = 8;
 
+/// Part of a route's aims after which a silent server is looked at, and the least, in milliseconds.
+const QUIET_PART: f64 = 0.4;
+const LEAST_QUIET_MS: f64 = 100.0;
+/// Part of the slack for repeats that the routers share out; the rest is for routers that are not known of yet.
+const SAVED_PART: f64 = 0.8;
 /// As long as their number is not known.
 const USUAL_ROUTERS_A_REGION: u32 = 4;
 
@@ -107,6 +112,10 @@
     pub call: Rc<Call>,
     /// Whether its answer may be a stream.
     pub streams: bool,
+    /// Whether it may go on at another server, and so need not wait for one that has fallen silent.
+    pub movable: bool,
+    /// A first byte, and each next one, come within these as a rule.
+    pub quiet: (Duration, Duration),
     /// The event behind which the stream goes on.
     pub last_event: Option<u64>,
     /// When to stop waiting.
@@ -191,6 +200,7 @@
     bounds: Bounds,
     table: Table,
     ready: bool,
+    touch: bool,
     /// None as long as it is not known.
     routers: Option<u32>,
     names: HashMap<Rc<str>, Service>,
@@ -250,6 +260,7 @@
             bounds: settings.bounds,
             table: Table::default(),
             ready: false,
+            touch: true,
             routers: None,
             names: HashMap::new(),
             services: BTreeMap::new(),
@@ -321,6 +332,11 @@
         self.tell(|inner, errands| inner.servers(servers, evacuation, errands));
     }
 
+    /// Whether the router can know what is ordered now. The list of servers is to be taken in anew.
+    pub fn set_touch(&self, touch: bool) {
+        self.inner.borrow_mut().touch = touch;
+    }
+
     /// So many routers share the servers.
     pub fn set_routers(&self, routers: u32) {
         self.inner.borrow_mut().set_routers(routers);
@@ -393,6 +409,12 @@
     }
 }
 
+/// How long a server may be silent, before its answer and within it, until it is looked whether it is there at all.
+fn quiet(route: &Route) -> (Duration, Duration) {
+    let part = |ms: f64, least: f64| Duration::from_secs_f64((ms * QUIET_PART).max(least) / 1000.0);
+    (part(route.target_ms, LEAST_QUIET_MS), part(route.gap_aim_ms, LEAST_QUIET_MS))
+}
+
 impl Inner {
     fn draw(&mut self) -> f64 {
         self.random = self.random.wrapping_add(0x9e37_79b9_7f4a_7c15);
@@ -447,8 +469,10 @@
     fn set_routers(&mut self, routers: u32) {
         self.routers = Some(routers.max(1));
         let nodes = self.nodes();
+        let saved = self.bounds.budget_slack * SAVED_PART / f64::from(routers.max(1));
         for service in self.services.values_mut() {
             service.balancer.set_nodes(nodes);
+            service.balancer.set_retries_saved(saved);
             service.placement.borrow_mut().set_routers(routers);
         }
     }
@@ -495,7 +519,7 @@
     }
 
     fn servers(&mut self, servers: Vec<Server>, evacuation: impl Fn(&str) -> (bool, u64), errands: &mut Errands) {
-        let now = self.clock.now();
+        let (now, touch) = (self.clock.now(), self.touch);
         let mut by_service: BTreeMap<Service, Vec<(Server, u32)>> =
             self.services.keys().map(|service| (*service, Vec::new())).collect();
         for server in servers {
@@ -504,7 +528,7 @@
         }
         for (id, servers) in by_service {
             let Some(service) = self.services.get_mut(&id) else { continue };
-            let (members, retired) = service.list(now, servers, &evacuation);
+            let (members, retired) = service.list(now, servers, touch, &evacuation);
             errands.retired.extend(retired.into_iter().map(|backend| (id, backend)));
             if !members.is_empty() {
                 self.hear(id, Event::Fleet { scope: ListScope::Changes, members }, errands);
@@ -655,6 +679,8 @@
             instance: known.instance.clone(),
             call: open.call.clone(),
             streams: open.route.route_kind == RouteKind::Streaming,
+            movable: open.route.is_repeatable(),
+            quiet: quiet(&open.route),
             last_event: open.last_event,
             give_up: open.not_after,
             not_after: open.not_after,
@@ -835,6 +861,7 @@
         &mut self,
         now: Nanos,
         servers: Vec<(Server, u32)>,
+        touch: bool,
         evacuation: &impl Fn(&str) -> (bool, u64),
     ) -> (Vec<Member>, Vec<BackendId>) {
         let (mut members, mut retired, mut there) = (Vec::new(), Vec::new(), HashSet::new());
@@ -850,11 +877,14 @@
             });
             there.insert(id);
             let (evacuated, evacuations) = evacuation(&server.zone);
-            let leaves = server.draining || server.remaining_ms.is_some() || evacuated;
+            let leaves = server.draining || server.remaining_ms.is_some();
+            // Out of touch nobody knows whether the zone is evacuated still.
+            let last_resort = evacuated && !touch;
+            let leaves = leaves || (evacuated && touch);
             let stage = if leaves { Stage::Draining } else { Stage::InService };
             let cold_left = Nanos::from(server.cold_left_ms) * MILLISECOND;
             let cold_until = if cold_left > 0 { now + cold_left + COLD_MORE } else { 0 };
-            placement.listed(id, &server.id, region, cold_until);
+            placement.listed(id, &server.id, region, cold_until, last_resort);
             let known = self.backends.get(&id);
             // Its zone has just been taken back: its servers may have turned cold meanwhile.
             if known.is_some_and(|known| known.evacuations != evacuations) && !evacuated {
--- a/system/src/router/sessions.rs
+++ b/system/src/router/sessions.rs
@@ -98,6 +98,10 @@
                     servers = true;
                 }
                 Done::Servers => servers = true,
+                Done::Touch(touch) => {
+                    self.dispatcher.set_touch(touch);
+                    servers = true;
+                }
                 Done::Routers(routers) => self.dispatcher.set_routers(routers),
                 Done::Log(event, pairs) => log::info!("event={event} {pairs}"),
             }
--- a/system/src/router/upstream.rs
+++ b/system/src/router/upstream.rs
@@ -4,6 +4,7 @@
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::pin::Pin;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -20,6 +21,7 @@
 use ivyhatch_routing::engine::Load;
 use ivyhatch_routing::events::Events;
 use tokio::net::TcpStream;
+use tokio::sync::OnceCell;
 use tokio::task::{spawn_local, yield_now};
 use tokio::time::{sleep, sleep_until, timeout};
 
@@ -40,6 +42,8 @@
 const KEPT: Nanos = 4 * SECOND;
 /// A connection is used up to this long before its server closes it.
 const KEEP_MARGIN: Nanos = 1200 * MILLISECOND;
+/// Whether a server takes a connection is looked at no more often than this.
+const LOOK_COUNTS: Nanos = 300 * MILLISECOND;
 const SWEEP: Duration = Duration::from_secs(1);
 
 const STAMP: HeaderName = HeaderName::from_static("ivyhatch-server-stamp");
@@ -59,6 +63,8 @@
 /// Connections to servers.
 pub struct Upstream {
     idle: RefCell<HashMap<Place, Vec<Idle>>>,
+    /// Looks at servers that have fallen silent, and since when each counts.
+    looks: RefCell<HashMap<Place, (Nanos, Rc<OnceCell<bool>>)>>,
     open: Rc<Cell<usize>>,
     most: usize,
     clock: Clock,
@@ -87,7 +93,7 @@
 impl Upstream {
     /// At most `most` connections are open together.
     pub fn new(clock: Clock, most: usize) -> Self {
-        Self { idle: RefCell::default(), open: Rc::default(), most, clock }
+        Self { idle: RefCell::default(), looks: RefCell::default(), open: Rc::default(), most, clock }
     }
 
     /// Closes what has been idle for too long; never ends.
@@ -154,7 +160,11 @@
             }
             let Some(message) = self.message(launch) else { return Ending::bare(Outcome::Moot) };
             written.set(true);
-            let response = match sender.try_send_request(message).await {
+            let mut asked = std::pin::pin!(sender.try_send_request(message));
+            let Some(response) = self.unless_dark(launch, launch.quiet.0, &mut asked).await else {
+                return Ending::bare(Outcome::Reset);
+            };
+            let response = match response {
                 Ok(response) => response,
                 Err(mut error) => match error.take_message() {
                     // Not a byte was written: another connection.
@@ -237,6 +247,44 @@
         Exchanged { ending: Ending { load, answer: Some((passed, body)), ..Ending::bare(outcome) }, kept_for }
     }
 
+    /// Waits for something from a server. None where it has been silent for longer than usual and takes no connection either:
+    /// then it is gone, and what may go on elsewhere does.
+    async fn unless_dark<F: Future>(&self, launch: &Launch, quiet: Duration, what: &mut Pin<&mut F>) -> Option<F::Output> {
+        if !launch.movable {
+            return Some(what.await);
+        }
+        let mut patience = quiet;
+        loop {
+            match timeout(patience, what.as_mut()).await {
+                Ok(came) => return Some(came),
+                Err(_) if self.is_dark(launch).await => return None,
+                Err(_) => patience *= 2,
+            }
+        }
+    }
+
+    /// Whether a server takes no connection. Those who ask at the same time share one try.
+    async fn is_dark(&self, launch: &Launch) -> bool {
+        let place = (launch.ticket.service, launch.ticket.backend);
+        let now = self.clock.now();
+        let look = {
+            let mut looks = self.looks.borrow_mut();
+            looks.retain(|_, (since, _)| now < *since + LOOK_COUNTS);
+            looks.entry(place).or_insert_with(|| (now, Rc::default())).1.clone()
+        };
+        let dark = look.get_or_init(|| async {
+            match self.connect(launch.endpoint).await {
+                // It serves the next request there.
+                Some(sender) => {
+                    self.keep(place, sender, Some(KEPT));
+                    false
+                }
+                None => true,
+            }
+        });
+        *dark.await
+    }
+
     /// Passes a stream on, event by event.
     async fn stream(
         &self,
@@ -250,7 +298,11 @@
         let mut events = Events::behind(launch.last_event);
         let (mut sink, mut head) = (None, Some(head));
         loop {
-            let data = match body.frame().await {
+            let mut frame = std::pin::pin!(body.frame());
+            let Some(frame) = self.unless_dark(launch, launch.quiet.1, &mut frame).await else {
+                return Exchanged::broken(Outcome::Reset);
+            };
+            let data = match frame {
                 Some(Ok(frame)) => match frame.into_data() {
                     Ok(data) => data,
                     Err(_) => continue,
