Sends are told to the advice as they are made; cold shares are dealt out by place

Lines on each send showed five sends at a share of three within 0.4 ms: what was held is sent in one go, and the placement learned of the sends only after the design had made all of them. Ruled out by the same lines: the number of routers (9 at all), the time for which servers count as cold. Second cause, seen on the way: a control node that has just come back counts fewer routers, and equal shares rounded up come to more than the bound where routers are many. Late requests are logged with what was known of their server; connect times are bounded by region.

--- a/control/src/group.rs
+++ b/control/src/group.rs
@@ -32,7 +32,7 @@
 }
 
 /// What members tell one that has forgotten its past.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct Recollection {
     told: BTreeMap<NodeId, (Group, Vec<(Part, Kept)>)>,
 }
--- a/control/src/node.rs
+++ b/control/src/node.rs
@@ -204,6 +204,8 @@
     started: Nanos,
     group: Option<Group>,
     standing: Standing,
+    /// The lives that this one has made members when it formed the group. A later life of theirs may have lost its disk.
+    founded: BTreeMap<NodeId, u64>,
     others: BTreeMap<NodeId, Other>,
     links: Vec<NodeId>,
     registers: BTreeMap<Part, Register>,
@@ -251,6 +253,7 @@
             started: now,
             group,
             standing,
+            founded: BTreeMap::new(),
             others: BTreeMap::new(),
             links: Vec::new(),
             registers,
@@ -435,6 +438,7 @@
         self.expire(out);
         self.route_all(out);
         self.read_list(out);
+        self.routers.note(self.now);
         let changed = self.routers.drop_silent(self.now);
         self.end_silent_sessions(out);
         if changed || self.now >= self.sessions_told + 5 * SECOND {
@@ -485,20 +489,25 @@
             }
             let can = |(node, other): (&NodeId, &Other)| {
                 let beat = other.beat.as_ref()?;
-                (self.two_way(*node) && beat.has_disk && !beat.has_group).then_some(*node)
+                (self.two_way(*node) && beat.has_disk && !beat.has_group).then_some((*node, beat.life))
             };
-            let mut members: Vec<NodeId> = self.others.iter().filter_map(can).chain([me]).collect();
+            self.founded = self.others.iter().filter_map(can).collect();
+            let mut members: Vec<NodeId> = self.founded.keys().copied().chain([me]).collect();
             members.sort_unstable();
             self.join(Group { members }, out);
         }
-        // Those who start with it are told, as long as they have heard of no group.
+        // Those who start with it are told, as long as they have heard of no group. One that has lost its disk has heard of none
+        // either, and yet has promised: it is not told, it has to ask for what it has forgotten.
         let Some(group) = self.group.clone().filter(|_| self.now < self.started + 10 * SECOND) else { return };
         if self.identity.seeds.iter().min() != Some(&self.identity.me) {
             return;
         }
         for member in &group.members {
             let Some(other) = self.others.get_mut(member) else { continue };
-            let Some(beat) = other.beat.as_ref().filter(|beat| !beat.has_group) else { continue };
+            let starts =
+                |beat: &&Beat| beat.standing == Standing::Fresh || self.founded.get(member) == Some(&beat.life);
+            let beat = other.beat.as_ref().filter(|beat| !beat.has_group).filter(starts);
+            let Some(beat) = beat else { continue };
             if other.found_told.is_none_or(|at| self.now >= at + ASK_AGAIN) {
                 other.found_told = Some(self.now);
                 let message = Peer::Found { group: group.clone(), life: beat.life };
@@ -1030,7 +1039,6 @@
         }
         // One that has just come, or is cut off, knows few of the routers: shares that follow from their number would be too large.
         let settled = self.touch_since.is_some_and(|since| now >= since + SETTLED);
-        let routers = if settled { self.routers.count() as u32 } else { 0 };
         let mut controls: Vec<NodeId> = self.others.keys().copied().chain([self.identity.me]).collect();
         controls.sort_unstable();
         for id in due {
@@ -1040,7 +1048,9 @@
                 out.extend(news.into_iter().map(|news| Action::Follower(id, news)));
             }
             let controls = controls.clone();
-            let heads = ToFollower::Heads { position: position.clone(), in_touch, routers, controls };
+            let (place, routers) = session.router.map_or((0, 0), |node| self.routers.place(node));
+            let (place, routers) = (place as u32, if settled { routers as u32 } else { 0 });
+            let heads = ToFollower::Heads { position: position.clone(), in_touch, routers, place, controls };
             out.push(Action::Follower(id, heads));
             if let Some(session) = self.sessions.get_mut(&id) {
                 if session.primary {
--- a/control/src/register.rs
+++ b/control/src/register.rs
@@ -34,7 +34,7 @@
 }
 
 /// What the owner has put to the members.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 struct Proposal {
     accepted: Accepted,
     done: BTreeSet<NodeId>,
@@ -42,7 +42,7 @@
 }
 
 /// Whether, and how far, this member is the part's owner.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 enum Ownership {
     /// It is not.
     #[default]
@@ -54,7 +54,7 @@
 }
 
 /// One part.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct Register {
     me: NodeId,
     life: u64,
--- a/control/src/routers.rs
+++ b/control/src/routers.rs
@@ -11,6 +11,9 @@
 pub const SILENT: Nanos = 1500 * MILLISECOND;
 /// What another control node has told of its sessions counts for so long after it was last heard.
 const TOLD: Nanos = 3 * SECOND;
+/// A router that is not there counts for so long among those who share what all may do: it may come back at any moment, or be cut
+/// off and at work.
+const SEEN: Nanos = 60 * SECOND;
 /// The directory names no more.
 pub const MOST_ADDRESSES: usize = 64;
 
@@ -19,6 +22,8 @@
 pub struct Routers {
     own: BTreeMap<NodeId, (Router, Nanos)>,
     told: BTreeMap<NodeId, (Vec<Router>, Nanos)>,
+    /// When each was known of last.
+    seen: BTreeMap<NodeId, Nanos>,
 }
 
 impl Routers {
@@ -71,9 +76,16 @@
         all
     }
 
-    /// How many there are.
-    pub fn count(&self) -> usize {
-        self.all().len()
+    /// Notes who is there. Called now and then.
+    pub fn note(&mut self, now: Nanos) {
+        let there: Vec<NodeId> = self.all().into_keys().collect();
+        self.seen.extend(there.into_iter().map(|node| (node, now)));
+        self.seen.retain(|_, at| now < *at + SEEN);
+    }
+
+    /// How many there are or were lately, and a router's place among them.
+    pub fn place(&self, node: NodeId) -> (usize, usize) {
+        (self.seen.range(..node).count(), self.seen.len().max(1))
     }
 
     /// Where a client of this zone and region should go: to the routers of its region, or to all where that has none.
--- a/protocol/src/feed.rs
+++ b/protocol/src/feed.rs
@@ -136,6 +136,8 @@
         in_touch: bool,
         /// Routers that it knows of, directly or from others; 0 where it can't know of all.
         routers: u32,
+        /// The follower's place among these, from 0: what all may do together is dealt out by it.
+        place: u32,
         /// The control nodes that it knows.
         controls: Vec<NodeId>,
     },
--- a/routing/src/follow.rs
+++ b/routing/src/follow.rs
@@ -27,7 +27,7 @@
 const COUNTED: Nanos = 30 * SECOND;
 
 /// A router that has heard no control node in touch with its group for so long can't know what is ordered now.
-const OUT_OF_TOUCH: Nanos = SECOND;
+const OUT_OF_TOUCH: Nanos = 400 * MILLISECOND;
 
 /// What the follower hears.
 #[derive(Debug)]
@@ -57,8 +57,8 @@
     Configuration(Change),
     /// Servers or evacuations have changed.
     Servers,
-    /// So many routers are known of.
-    Routers(u32),
+    /// So many routers are known of, and this is one's place among them.
+    Routers(u32, u32),
     /// Whether any control node that is in touch with its group can be heard.
     Touch(bool),
     /// A line for the log: the event's name, and its key=value pairs.
@@ -92,6 +92,7 @@
     evacuations: BTreeMap<Part, Evacuations>,
     list: List,
     routers: u32,
+    place: u32,
     routers_at: Nanos,
     touched: Nanos,
     touch: bool,
@@ -112,6 +113,7 @@
             evacuations: BTreeMap::new(),
             list: List::default(),
             routers: 0,
+            place: 0,
             routers_at: now,
             touched: now,
             touch: true,
@@ -200,15 +202,16 @@
         let Some(link) = self.links.get_mut(&from) else { return };
         link.heard = now;
         match message {
-            ToFollower::Heads { position, in_touch, routers, controls } => {
+            ToFollower::Heads { position, in_touch, routers, place, controls } => {
                 (link.position, link.in_touch) = (position, in_touch);
                 self.known.extend(controls);
                 if routers >= self.routers {
                     self.routers_at = now;
                 }
-                if routers > self.routers || (routers > 0 && now >= self.routers_at + COUNTED) {
-                    (self.routers, self.routers_at) = (routers, now);
-                    out.push(Done::Routers(routers));
+                let fewer = routers < self.routers && now < self.routers_at + COUNTED;
+                if routers > 0 && !fewer && (routers, place) != (self.routers, self.place) {
+                    (self.routers, self.place, self.routers_at) = (routers, place, now);
+                    out.push(Done::Routers(routers, place));
                 }
             }
             ToFollower::Whole { sequence, document } => {
@@ -305,7 +308,7 @@
     /// Whether the router can know what is ordered now.
     fn note_touch(&mut self, out: &mut Vec<Done>) {
         let now = self.now;
-        let good = |link: &Link| link.open.is_some() && link.in_touch && now < link.heard + SILENT;
+        let good = |link: &Link| link.open.is_some() && link.in_touch && now < link.heard + 2 * BEAT;
         if self.links.values().any(good) {
             self.touched = now;
         }
--- a/routing/src/placement.rs
+++ b/routing/src/placement.rs
@@ -15,7 +15,7 @@
 /// The span in which a cold server's sends are counted: a second, and a tenth for sends that are held up on the way.
 const COLD_SPAN: Nanos = 1100 * MILLISECOND;
 /// Part of the cold bound that is used; the rest is for routers that are not known of yet.
-const COLD_PART: f64 = 0.9;
+const COLD_PART: f64 = 0.85;
 /// A prompt may wait for so many times its aim at a server that this router has sent to; beyond that it goes elsewhere or not at
 /// all.
 const PATIENCE: f64 = 1.25;
@@ -69,8 +69,8 @@
     regions: u32,
     is_model: bool,
     cold: Cold,
-    /// Routers that share the servers; none as long as that is not known.
-    routers: Option<u32>,
+    /// Routers that share the servers, and the place among them; none as long as that is not known.
+    routers: Option<(u64, u64)>,
     speed: Speed,
     servers: HashMap<BackendId, Server>,
     requests: HashMap<RequestId, Asked>,
@@ -100,9 +100,9 @@
         (self.is_model, self.cold) = (is_model, cold);
     }
 
-    /// So many routers share what cold servers bear.
-    pub fn set_routers(&mut self, routers: u32) {
-        self.routers = Some(routers.max(1));
+    /// So many routers share what cold servers bear, and this is one's place among them.
+    pub fn set_routers(&mut self, routers: u32, place: u32) {
+        self.routers = Some((u64::from(routers.max(1)), u64::from(place)));
     }
 
     /// A server is listed, and cold for so long. A `last_resort` stands in a zone that was evacuated when that could be known last:
@@ -150,8 +150,7 @@
         self.requests.remove(&request);
     }
 
-    /// A request is sent to a server.
-    pub fn sent(&mut self, now: Nanos, request: RequestId, to: BackendId) {
+    fn sent(&mut self, now: Nanos, request: RequestId, to: BackendId) {
         let unread = self.unread(now, request, to);
         let Some(server) = self.servers.get_mut(&to) else { return };
         server.sends.push_back(now);
@@ -213,16 +212,34 @@
         }
     }
 
+    /// What was known of a request's server when it was sent there, for people.
+    pub fn explain(&self, request: RequestId) -> Option<String> {
+        let asked = self.requests.get(&request)?;
+        let (to, unread, _) = asked.sent?;
+        let server = self.servers.get(&to)?;
+        let first = asked.first.get(server.region as usize).copied().flatten() == Some(to);
+        Some(format!(
+            "tokens={} unread={unread} kept_there={first} region={} own={} utilisation={:.2}",
+            asked.prompt.tokens,
+            server.region,
+            server.engine.own(),
+            server.engine.utilisation(&self.speed)
+        ))
+    }
+
     /// A server's utilisation, where it is a model's.
     pub fn utilisation(&self, of: BackendId) -> Option<f64> {
         let server = self.servers.get(&of).filter(|_| self.is_model)?;
         Some(server.engine.utilisation(&self.speed))
     }
 
-    /// Requests a second that this router may send to a cold server.
-    fn cold_share(&self) -> usize {
-        let share = |routers| (self.cold.per_s * COLD_PART / f64::from(routers)) as usize;
-        self.routers.map_or(1, share).max(1)
+    /// Requests a second that this router may send to a cold server. The shares of all routers come to the whole, and no more: what
+    /// can't be divided goes to some of them, to others for each server. One that does not know how many there are sends nothing.
+    fn cold_share(&self, server: &Server) -> usize {
+        let Some((routers, place)) = self.routers else { return 0 };
+        let whole = (self.cold.per_s * COLD_PART) as u64;
+        let turn = (place + server.lot % routers) % routers;
+        (whole / routers + u64::from(turn < whole % routers)) as usize
     }
 
     fn unread(&self, now: Nanos, request: RequestId, to: BackendId) -> u32 {
@@ -235,6 +252,10 @@
 }
 
 impl Advice for Shared {
+    fn sent(&self, now: Nanos, request: RequestId, backend: BackendId) {
+        self.0.borrow_mut().sent(now, request, backend);
+    }
+
     fn allows(&self, now: Nanos, request: RequestId, backend: BackendId) -> bool {
         let placement = self.0.borrow();
         let Some(server) = placement.servers.get(&backend) else { return false };
@@ -255,7 +276,7 @@
         }
         if (now < server.cold_until || server.last_resort) && placement.cold.per_s > 0.0 {
             let recent = server.sends.iter().filter(|at| now < *at + COLD_SPAN).count();
-            if recent >= placement.cold_share() {
+            if recent >= placement.cold_share(server) {
                 return false;
             }
         }
--- a/src/advice.rs
+++ b/src/advice.rs
@@ -14,6 +14,9 @@
     /// than by what the module has learned. Where it is known, `allows` tells as well whether there is room.
     fn delay(&self, now: Nanos, request: RequestId, backend: BackendId) -> Option<f64>;
 
+    /// This request is sent to this backend: what is asked next has to take it into account, also within the same event.
+    fn sent(&self, now: Nanos, request: RequestId, backend: BackendId);
+
     /// Whether the node's own zone can ever take this request.
     fn may_stay(&self, request: RequestId) -> bool;
 }
@@ -49,6 +52,10 @@
         self.advice.as_ref().is_none_or(|advice| advice.allows(self.now, request.id, to))
     }
 
+    pub(crate) fn advise_sent(&self, request: RequestId, to: BackendId) {
+        self.advice.iter().for_each(|advice| advice.sent(self.now, request, to));
+    }
+
     pub(crate) fn may_stay(&self, id: RequestId) -> bool {
         self.advice.as_ref().is_none_or(|advice| advice.may_stay(id))
     }
--- a/src/policy/ledger.rs
+++ b/src/policy/ledger.rs
@@ -137,6 +137,7 @@
             self.unsettle(zone);
         }
         actions.push(Action::Send { request: id, backend: to, timeout: None });
+        self.advise_sent(id, to);
         let view = self.zones.get_mut(zone.0 as usize);
         view.into_iter().for_each(|view| {
             view.count_own(self.now, 1.0, UTIL_SMOOTHING);
--- a/system/src/router/dispatch.rs
+++ b/system/src/router/dispatch.rs
@@ -106,6 +106,8 @@
     pub id: Rc<str>,
     /// Where the server listens.
     pub endpoint: SocketAddr,
+    /// Its region's number.
+    pub region: u32,
     /// Its incarnation.
     pub instance: Rc<str>,
     /// What to send.
@@ -154,6 +156,7 @@
     id: Rc<str>,
     route: Rc<Route>,
     call: Rc<Call>,
+    came: Nanos,
     not_after: Nanos,
     reply: Option<oneshot::Sender<Reply>>,
     /// The way to the client of a stream that has begun.
@@ -167,6 +170,7 @@
 
 struct Known {
     endpoint: SocketAddr,
+    region: u32,
     instance: Rc<str>,
     server: Server,
     stage: Stage,
@@ -203,6 +207,7 @@
     touch: bool,
     /// None as long as it is not known.
     routers: Option<u32>,
+    place: u32,
     names: HashMap<Rc<str>, Service>,
     services: BTreeMap<Service, Balanced>,
     requests: HashMap<RequestId, Open>,
@@ -262,6 +267,7 @@
             ready: false,
             touch: true,
             routers: None,
+            place: 0,
             names: HashMap::new(),
             services: BTreeMap::new(),
             requests: HashMap::new(),
@@ -337,9 +343,9 @@
         self.inner.borrow_mut().touch = touch;
     }
 
-    /// So many routers share the servers.
-    pub fn set_routers(&self, routers: u32) {
-        self.inner.borrow_mut().set_routers(routers);
+    /// So many routers share the servers, and this is one's place among them.
+    pub fn set_routers(&self, routers: u32, place: u32) {
+        self.inner.borrow_mut().set_routers(routers, place);
     }
 
     /// Takes a request. None where an open one has its id: passed on, it would count as another attempt of that one.
@@ -466,14 +472,15 @@
         self.routers.unwrap_or(USUAL_ROUTERS_A_REGION * regions).clamp(1, MOST_ROUTERS_A_REGION * regions)
     }
 
-    fn set_routers(&mut self, routers: u32) {
+    fn set_routers(&mut self, routers: u32, place: u32) {
         self.routers = Some(routers.max(1));
+        self.place = place;
         let nodes = self.nodes();
         let saved = self.bounds.budget_slack * SAVED_PART / f64::from(routers.max(1));
         for service in self.services.values_mut() {
             service.balancer.set_nodes(nodes);
             service.balancer.set_retries_saved(saved);
-            service.placement.borrow_mut().set_routers(routers);
+            service.placement.borrow_mut().set_routers(routers, place);
         }
     }
 
@@ -501,7 +508,7 @@
         balancer.handle(now, Event::Start, &mut Vec::new());
         let placement = Rc::new(RefCell::new(Placement::new(self.home, regions)));
         if let Some(routers) = self.routers {
-            placement.borrow_mut().set_routers(routers);
+            placement.borrow_mut().set_routers(routers, self.place);
         }
         balancer.advise(Box::new(Shared(placement.clone())));
         self.names.insert(name.clone(), id);
@@ -643,6 +650,7 @@
             id: asked.id,
             route: asked.route,
             call: Rc::new(asked.call),
+            came: self.clock.now(),
             not_after: asked.not_after,
             reply: Some(reply),
             sink: None,
@@ -667,7 +675,6 @@
         let ticket = Ticket { service, backend, request, attempt: open.attempts.len() as u32 };
         let (withdraw, withdrawn) = oneshot::channel();
         open.attempts.push(Some(Flight { since: now, began: None, withdraw: Some(withdraw) }));
-        balanced.placement.borrow_mut().sent(now, request, backend);
         let Some(known) = balanced.backends.get(&backend) else {
             errands.moot.push(ticket);
             return;
@@ -676,6 +683,7 @@
             ticket,
             id: open.id.clone(),
             endpoint: known.endpoint,
+            region: known.region,
             instance: known.instance.clone(),
             call: open.call.clone(),
             streams: open.route.route_kind == RouteKind::Streaming,
@@ -706,6 +714,20 @@
                 sink
             }
         };
+        let aim = (open.route.target_ms * MILLISECOND as f64) as Nanos;
+        if aim > 0 && now > open.came + aim {
+            let (route, sent) = (open.route.name.clone(), open.attempts.len());
+            let ms = |span: Nanos| span / MILLISECOND;
+            let expected = self.services.get(&ticket.service).and_then(|balanced| {
+                balanced.placement.borrow().explain(ticket.request)
+            });
+            log::info!(
+                "event=late route={route} first_ms={} at_server_ms={} attempts={sent} {} load={load:?}",
+                ms(now - open.came),
+                ms(took),
+                expected.unwrap_or_default(),
+            );
+        }
         self.told(ticket, load, Some(took), errands);
         self.hear(ticket.service, Event::Started { request: ticket.request }, errands);
         Some(sink)
@@ -904,7 +926,7 @@
                 });
             }
             let instance = Rc::from(server.id.as_str());
-            self.backends.insert(id, Known { endpoint, instance, server, stage, evacuations });
+            self.backends.insert(id, Known { endpoint, region, instance, server, stage, evacuations });
         }
         let gone: Vec<BackendId> = self.backends.keys().filter(|id| !there.contains(*id)).copied().collect();
         for id in gone {
--- a/system/src/router/sessions.rs
+++ b/system/src/router/sessions.rs
@@ -102,7 +102,7 @@
                     self.dispatcher.set_touch(touch);
                     servers = true;
                 }
-                Done::Routers(routers) => self.dispatcher.set_routers(routers),
+                Done::Routers(routers, place) => self.dispatcher.set_routers(routers, place),
                 Done::Log(event, pairs) => log::info!("event={event} {pairs}"),
             }
         }
--- a/system/src/router/upstream.rs
+++ b/system/src/router/upstream.rs
@@ -3,7 +3,6 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
-use std::net::SocketAddr;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::time::Duration;
@@ -34,8 +33,11 @@
 /// No whole answer is longer, in bytes.
 const LONGEST_ANSWER: usize = 8 << 20;
 const LONGEST_HEAD: usize = 32 * 1024;
-/// A connection that is not up by then counts as failed: the way between the farthest regions and back, three times.
+/// A connection that is not up by then counts as failed, as long as the way to its region is not known ...
 const CONNECT: Duration = Duration::from_millis(350);
+/// ... and after that where it takes this much longer than so many times the quickest one there.
+const CONNECT_MORE: Duration = Duration::from_millis(120);
+const CONNECT_TIMES: u32 = 4;
 /// A connection rests this long after an answer: what comes behind one shows as not asked for, and so does a close.
 const REST: Nanos = 2 * MILLISECOND;
 /// Servers that say nothing of it are taken to keep an idle connection for so long.
@@ -65,6 +67,8 @@
     idle: RefCell<HashMap<Place, Vec<Idle>>>,
     /// Looks at servers that have fallen silent, and since when each counts.
     looks: RefCell<HashMap<Place, (Nanos, Rc<OnceCell<bool>>)>>,
+    /// The quickest connect to each region.
+    ways: RefCell<HashMap<u32, Duration>>,
     open: Rc<Cell<usize>>,
     most: usize,
     clock: Clock,
@@ -93,7 +97,7 @@
 impl Upstream {
     /// At most `most` connections are open together.
     pub fn new(clock: Clock, most: usize) -> Self {
-        Self { idle: RefCell::default(), looks: RefCell::default(), open: Rc::default(), most, clock }
+        Self { idle: RefCell::default(), looks: RefCell::default(), ways: RefCell::default(), open: Rc::default(), most, clock }
     }
 
     /// Closes what has been idle for too long; never ends.
@@ -138,7 +142,7 @@
         loop {
             let (mut sender, fresh) = match self.take(place) {
                 Some(sender) => (sender, false),
-                None => match self.connect(launch.endpoint).await {
+                None => match self.connect(launch).await {
                     Some(sender) => (sender, true),
                     None => return Ending::bare(Outcome::ConnectFailed),
                 },
@@ -273,7 +277,7 @@
             looks.entry(place).or_insert_with(|| (now, Rc::default())).1.clone()
         };
         let dark = look.get_or_init(|| async {
-            match self.connect(launch.endpoint).await {
+            match self.connect(launch).await {
                 // It serves the next request there.
                 Some(sender) => {
                     self.keep(place, sender, Some(KEPT));
@@ -355,7 +359,8 @@
         self.idle.borrow_mut().entry(place).or_default().push(idle);
     }
 
-    async fn connect(&self, endpoint: SocketAddr) -> Option<Sender> {
+    async fn connect(&self, launch: &Launch) -> Option<Sender> {
+        let (endpoint, region) = (launch.endpoint, launch.region);
         if self.open.get() >= self.most {
             self.drop_oldest();
         }
@@ -365,7 +370,12 @@
         }
         self.open.set(self.open.get() + 1);
         let counted = Counted(self.open.clone());
-        let stream = timeout(CONNECT, TcpStream::connect(endpoint)).await.ok()?.ok()?;
+        let way = self.ways.borrow().get(&region).copied();
+        let within = way.map_or(CONNECT, |way| (way * CONNECT_TIMES + CONNECT_MORE).min(CONNECT));
+        let began = self.clock.now();
+        let stream = timeout(within, TcpStream::connect(endpoint)).await.ok()?.ok()?;
+        let took = Duration::from_nanos(self.clock.now() - began);
+        self.ways.borrow_mut().entry(region).and_modify(|way| *way = took.min(*way)).or_insert(took);
         tune(&stream);
         let mut builder = Builder::new();
         builder.max_buf_size(LONGEST_HEAD);
