--- a/src/policy/ledger.rs
+++ b/src/policy/ledger.rs
@@ -85,10 +85,9 @@
     pub(super) fn may_go(&self, request: &Request) -> bool {
         let live = matches!(request.phase, Phase::Open | Phase::Held) && self.now < request.not_after;
         let alone = self.settings.limits.second_copies || !request.attempts.iter().any(Attempt::out);
-        let once = self.settings.classes[request.class].effect == Effect::Once;
-        live && self.attempts_left(request)
-            && alone
-            && !(once && request.attempts.iter().any(Attempt::may_have_run))
+        let ran = request.attempts.iter().any(Attempt::may_have_run);
+        let effect = self.settings.classes[request.class].effect;
+        live && alone && self.attempts_left(request) && !(ran && effect == Effect::Once)
     }
 
     fn may_go_to(&self, request: &Request, backend: &Backend) -> bool {
@@ -140,11 +139,10 @@
         }
         actions.push(Action::Send { request: id, backend: to, timeout: None });
         self.advise_sent(id, to);
-        let view = self.zones.get_mut(zone.0 as usize);
-        view.into_iter().for_each(|view| {
+        if let Some(view) = self.zones.get_mut(zone.0 as usize) {
             view.count_own(self.now, 1.0, UTIL_SMOOTHING);
             view.window.sent = self.now;
-        });
+        }
         true
     }
 
