--- a/control/src/node.rs
+++ b/control/src/node.rs
@@ -43,6 +43,8 @@
 const SESSION_ENDS: Nanos = 4 * SECOND;
 /// So long after it has come into touch with its group a control node has heard of all routers.
 const SETTLED: Nanos = 2 * SECOND;
+/// An owner that was deposed by a higher epoch rests for so long, times its place in the order, doubling while that goes on.
+const REST: Nanos = 200 * MILLISECOND;
 /// The name of the duty to read the platform's list: it lies with the owner of the part into which this falls.
 const LIST_DUTY: &str = "platform-list";
 
@@ -206,11 +208,15 @@
     standing: Standing,
     /// The lives that this one has made members when it formed the group. A later life of theirs may have lost its disk.
     founded: BTreeMap<NodeId, u64>,
+    /// The write that holds the group, until it is on the disk: nobody is told of a group that a loss of power could undo.
+    group_stored: Option<Token>,
     others: BTreeMap<NodeId, Other>,
     links: Vec<NodeId>,
     registers: BTreeMap<Part, Register>,
     states: BTreeMap<Part, State>,
     work: BTreeMap<Part, Work>,
+    /// How often this node was deposed lately, and until when it rests.
+    rests: BTreeMap<Part, (u32, Nanos)>,
     asked: BTreeMap<Part, Nanos>,
     servers_asked: Nanos,
     feed: Feed,
@@ -254,11 +260,13 @@
             group,
             standing,
             founded: BTreeMap::new(),
+            group_stored: None,
             others: BTreeMap::new(),
             links: Vec::new(),
             registers,
             states: Part::all().map(|part| (part, State::empty(part))).collect(),
             work: Part::all().map(|part| (part, Work::default())).collect(),
+            rests: BTreeMap::new(),
             asked: BTreeMap::new(),
             servers_asked: 0,
             feed: Feed::default(),
@@ -301,6 +309,9 @@
             Event::Linked(node) => self.linked(node, out),
             Event::Peer(from, message) => self.inbox.push_back((from, message)),
             Event::Stored(token) => {
+                if self.group_stored == Some(token) {
+                    self.group_stored = None;
+                }
                 for (to, message) in self.stores.remove(&token).unwrap_or_default() {
                     self.tell(to, message, out);
                 }
@@ -427,14 +438,20 @@
         self.recall(out);
         for part in Part::all() {
             let mine = self.owner(part) == Some(self.identity.me);
+            let rests = self.rests.get(&part).is_some_and(|(_, until)| self.now < *until);
             let Some(register) = self.registers.get_mut(&part) else { continue };
             let mut effects = Vec::new();
             match (mine, register.is_owner()) {
+                (true, false) if rests => {}
                 (true, false) => register.lead(self.now, &mut effects),
                 (false, true) => register.stand_back(&mut effects),
                 _ => register.tick(self.now, &mut effects),
             }
             self.carry_out(part, effects, out);
+            // Who stands back of itself, or has led for a while, was not in anybody's way.
+            if !mine || self.rests.get(&part).is_some_and(|(_, until)| self.now >= until + 3 * SECOND) {
+                self.rests.remove(&part);
+            }
         }
         self.expire(out);
         self.route_all(out);
@@ -502,7 +519,7 @@
         let Some(group) = self.group.clone().filter(|_| self.now < self.started + 10 * SECOND) else {
             return;
         };
-        if self.identity.seeds.iter().min() != Some(&self.identity.me) {
+        if self.identity.seeds.iter().min() != Some(&self.identity.me) || self.group_stored.is_some() {
             return;
         }
         for member in &group.members {
@@ -524,6 +541,7 @@
     fn join(&mut self, group: Group, out: &mut Vec<Action>) {
         self.set_group(group.clone());
         self.store(vec![Record::Group(group)], Vec::new(), out);
+        self.group_stored = Some(self.next_token);
         self.stand(Standing::Member, out);
     }
 
@@ -896,6 +914,15 @@
         if let Some(work) = self.work.get_mut(&part) {
             *work = Work::default();
         }
+        // Where a link is cut one way two may take themselves for the owner, and depose each other without end: each rests for a
+        // while, the one further back in the order for longer.
+        let place = self
+            .group
+            .as_ref()
+            .and_then(|group| group::order(group, part).position(|member| member == self.identity.me));
+        let (times, _) = self.rests.get(&part).copied().unwrap_or_default();
+        let rest = REST * (1 + place.unwrap_or(0) as u64) << times.min(3);
+        self.rests.insert(part, (times + 1, self.now + rest));
         for pending in self.pending.values_mut().filter(|pending| pending.order.part() == part) {
             pending.queued = false;
         }
--- /dev/null
+++ b/world/tests/hunt.rs
@@ -0,0 +1,106 @@
+//! Worlds as a whole: they play alike, hold what is promised, and show the faults that are put in.
+
+use googletest::prelude::*;
+use ivyhatch_world::hunt::{Found, broken, find, mutations, plans};
+use ivyhatch_world::run::play_traced;
+use ivyhatch_world::{Plan, Planted, Rule, play};
+
+/// How many worlds until one shows this fault, and what it shows, made short.
+fn found_within(planted: Planted, worlds: usize) -> Option<(usize, Found)> {
+    let first = plans(7).take(worlds).position(|plan| broken(plan, Some(planted)).is_some())?;
+    Some((first + 1, find(plans(7).nth(first)?, Some(planted))?))
+}
+
+#[gtest]
+fn a_plan_plays_alike_each_time() {
+    for plan in plans(3).take(4) {
+        let (one, two) = (play_traced(&plan, None), play_traced(&plan, None));
+        expect_that!(one.trace.len(), gt(100));
+        expect_true!(one.trace == two.trace);
+    }
+}
+
+#[gtest]
+fn worlds_of_one_seed_break_no_rule() {
+    for plan in plans(1).take(400) {
+        let outcome = play(&plan);
+        assert_that!(outcome.violation, none(), "seed {}", plan.seed);
+    }
+}
+
+#[gtest]
+fn quiet_worlds_take_orders() {
+    for plan in plans(2).take(20).map(Plan::without_faults) {
+        let outcome = play(&plan);
+        expect_that!(outcome.violation, none());
+        expect_that!(outcome.taken, gt(4));
+    }
+}
+
+#[gtest]
+fn acknowledging_before_the_sync_is_found() {
+    let (worlds, found) = found_within(Planted::AcknowledgesBeforeSync, 400).expect("it is found");
+    println!("after {worlds} worlds: {:?}", found.violation);
+    expect_that!(found.plan.faults, not(is_empty()));
+}
+
+#[gtest]
+fn a_vote_after_a_wipe_is_found() {
+    let (worlds, found) = found_within(Planted::VotesAfterWipe, 50).expect("it is found");
+    println!("after {worlds} worlds: {:?}", found.violation);
+    expect_that!(found.violation.rule, eq(Rule::WipedIsSilent));
+    expect_that!(found.plan.faults, len(eq(1)));
+}
+
+#[gtest]
+fn an_answer_without_confirmation_is_found() {
+    let (worlds, found) = found_within(Planted::SkipsConfirmation, 600).expect("it is found");
+    println!("after {worlds} worlds: {:?}", found.violation);
+    expect_that!(found.violation.rule, eq(Rule::FreshRead));
+}
+
+#[gtest]
+fn a_lower_epoch_that_is_taken_is_found() {
+    let (worlds, found) = found_within(Planted::AcceptsLowerEpoch, 300).expect("it is found");
+    println!("after {worlds} worlds: {:?}", found.violation);
+}
+
+#[gtest]
+fn a_change_over_a_gap_is_found() {
+    let (worlds, found) = found_within(Planted::AppliesOverGap, 200).expect("it is found");
+    println!("after {worlds} worlds: {:?}", found.violation);
+    expect_that!(found.violation.rule, any![eq(Rule::OneValueANumber), eq(Rule::AsSent)]);
+}
+
+#[gtest]
+fn an_order_on_top_of_whatever_is_current_is_found() {
+    let (worlds, found) = found_within(Planted::IgnoresBase, 20).expect("it is found");
+    println!("after {worlds} worlds: {:?}", found.violation);
+    expect_that!(found.plan.orders.len(), le(8));
+}
+
+#[gtest]
+fn no_single_message_of_a_quiet_run_matters() {
+    let plan = plans(5).map(Plan::without_faults).find(|plan| plan.members == 3).expect("most are");
+    let plan = Plan { faults_end_ms: 6_000, ..plan };
+    expect_that!(play(&plan).violation, none());
+    let mut played = 0;
+    for mutated in mutations(&plan, 1, 23) {
+        played += 1;
+        let outcome = play(&mutated);
+        assert_that!(outcome.violation, none(), "{:?}", mutated.mutation);
+    }
+    expect_that!(played, gt(100));
+}
+
+#[gtest]
+fn a_file_holds_the_world_that_was_found() {
+    let (_, found) = found_within(Planted::IgnoresBase, 20).expect("it is found");
+    let folder = std::env::temp_dir().join(format!("ivyhatch-world-{}", std::process::id()));
+    let path = found.save(&folder).expect("it is written");
+    let read = Found::read(&path).expect("it is read");
+    expect_that!(read, eq(&found));
+    expect_that!(read.play().violation, some(eq(&found.violation)));
+    std::fs::remove_dir_all(&folder).expect("it is removed");
+    expect_that!(Found::read(&path), err(displays_as(contains_substring("see to the folder"))));
+}
--- /dev/null
+++ b/world/tests/oracle.rs
@@ -0,0 +1,226 @@
+//! The judge by itself: each rule is broken once, and what is proper is let pass.
+
+use std::collections::BTreeSet;
+
+use googletest::prelude::*;
+use ivyhatch_protocol::SECOND;
+use ivyhatch_protocol::configuration::Document;
+use ivyhatch_protocol::ids::Part;
+use ivyhatch_protocol::peer::{Answer, Order};
+use ivyhatch_world::Rule;
+use ivyhatch_world::demand::{Demand, Kind, Operators, digest};
+use ivyhatch_world::oracle::{FollowerView, Oracle};
+use ivyhatch_world::plan::Undertaking;
+
+const WHO: (u32, u64) = (1, 1);
+
+fn set(base: u64, revision: u64, valid: bool) -> Demand {
+    let kind = Kind::Set { base, revision, digest: revision, valid };
+    Demand { order: Order::Put { base, body: Vec::new() }, kind }
+}
+
+fn taken(revision: u64) -> Answer {
+    Answer::Taken { revision }
+}
+
+fn rule(oracle: &Oracle) -> Option<Rule> {
+    oracle.violation().map(|violation| violation.rule)
+}
+
+/// Two versions, the first acknowledged and in force.
+fn begun() -> Oracle {
+    let mut oracle = Oracle::default();
+    oracle.time(SECOND);
+    oracle.began(1, &set(0, 5, true));
+    oracle.in_force(1, 5, 5);
+    oracle.answered(1, &taken(5));
+    oracle
+}
+
+fn view(revision: u64, evacuated: bool, in_touch: bool) -> FollowerView {
+    FollowerView { number: 0, revision, evacuated: vec![evacuated; 3], in_touch }
+}
+
+#[gtest]
+fn what_is_proper_is_let_pass() {
+    let mut oracle = begun();
+    oracle.began(2, &set(5, 7, true));
+    oracle.began(3, &set(5, 8, true));
+    oracle.seen(WHO, Part::CONFIGURATION, 1, 5);
+    oracle.answered(2, &taken(7));
+    oracle.answered(3, &Answer::Conflict { revision: 7 });
+    oracle.seen(WHO, Part::CONFIGURATION, 2, 7);
+    oracle.in_force(2, 7, 7);
+    oracle.end(&BTreeSet::from([vec![2]]), &BTreeSet::from([vec![7, 2]]), true);
+    expect_that!(oracle.violation(), none());
+    expect_that!(oracle.taken(), eq(2));
+}
+
+#[gtest]
+fn two_winners_on_one_version() {
+    let mut oracle = begun();
+    for (number, revision) in [(2, 7), (3, 8)] {
+        oracle.began(number, &set(5, revision, true));
+        oracle.answered(number, &taken(revision));
+    }
+    expect_that!(rule(&oracle), some(eq(Rule::OneWinner)));
+    let mut unseen = begun();
+    unseen.began(2, &set(0, 7, true));
+    unseen.in_force(2, 7, 7);
+    expect_that!(rule(&unseen), some(eq(Rule::OneWinner)));
+}
+
+#[gtest]
+fn refused_and_invalid_ones_in_force() {
+    let mut before = begun();
+    before.began(2, &set(5, 7, true));
+    before.answered(2, &Answer::Conflict { revision: 5 });
+    before.in_force(2, 7, 7);
+    expect_that!(rule(&before), some(eq(Rule::RefusedStaysOut)));
+    let mut after = begun();
+    after.began(2, &set(5, 7, true));
+    after.in_force(2, 7, 7);
+    after.answered(2, &Answer::Invalid(String::new()));
+    expect_that!(rule(&after), some(eq(Rule::RefusedStaysOut)));
+    let mut invalid = begun();
+    invalid.began(2, &set(5, 7, false));
+    invalid.answered(2, &taken(7));
+    expect_that!(rule(&invalid), some(eq(Rule::InvalidStaysOut)));
+    let mut silent = begun();
+    silent.began(2, &set(5, 7, false));
+    silent.in_force(2, 7, 7);
+    expect_that!(rule(&silent), some(eq(Rule::InvalidStaysOut)));
+}
+
+#[gtest]
+fn what_nobody_sent_and_what_was_altered() {
+    let mut unsent = begun();
+    unsent.in_force(2, 9, 9);
+    expect_that!(rule(&unsent), some(eq(Rule::AsSent)));
+    let mut altered = begun();
+    altered.began(2, &set(5, 7, true));
+    altered.in_force(2, 7, 99);
+    expect_that!(rule(&altered), some(eq(Rule::AsSent)));
+}
+
+#[gtest]
+fn two_values_under_one_number_and_a_way_back() {
+    let mut oracle = begun();
+    oracle.seen(WHO, Part(3), 4, 1);
+    oracle.seen((2, 1), Part(3), 4, 2);
+    expect_that!(rule(&oracle), some(eq(Rule::OneValueANumber)));
+    let mut back = begun();
+    back.seen(WHO, Part(3), 4, 1);
+    // Another life may begin anew.
+    back.seen((1, 2), Part(3), 3, 1);
+    expect_that!(back.violation(), none());
+    back.seen(WHO, Part(3), 3, 1);
+    expect_that!(rule(&back), some(eq(Rule::NoWayBack)));
+    let mut lists = begun();
+    lists.list((1, 2, 3), 4);
+    lists.list((1, 2, 3), 5);
+    expect_that!(rule(&lists), some(eq(Rule::OneListANumber)));
+}
+
+#[gtest]
+fn a_read_is_no_older_than_what_was_acknowledged_before_it() {
+    let read = Demand { order: Order::Read, kind: Kind::Read };
+    let document = |revision: u64| Answer::Document(format!(r#"{{"revision":{revision}}}"#));
+    let mut oracle = begun();
+    oracle.began(2, &read);
+    oracle.began(3, &set(5, 7, true));
+    oracle.answered(3, &taken(7));
+    oracle.answered(2, &document(5));
+    expect_that!(oracle.violation(), none());
+    oracle.began(4, &read);
+    oracle.answered(4, &document(5));
+    expect_that!(rule(&oracle), some(eq(Rule::FreshRead)));
+    let mut nothing = begun();
+    nothing.began(2, &read);
+    nothing.answered(2, &Answer::Nothing);
+    expect_that!(rule(&nothing), some(eq(Rule::FreshRead)));
+}
+
+#[gtest]
+fn followers_in_touch_have_it_in_time() {
+    let mut oracle = begun();
+    oracle.time(4 * SECOND);
+    oracle.sample(&[view(0, false, false), view(5, false, true)], None);
+    expect_that!(oracle.violation(), none());
+    oracle.sample(&[view(0, false, true)], None);
+    expect_that!(rule(&oracle), some(eq(Rule::ConfiguredInTime)));
+
+    let evacuate = |active| Demand {
+        order: Order::Evacuate { zone: "zone-1".to_owned(), active },
+        kind: Kind::Evacuate { zone: 1, active },
+    };
+    let mut oracle = begun();
+    oracle.began(2, &evacuate(true));
+    oracle.answered(2, &taken(0));
+    oracle.time(6 * SECOND);
+    oracle.sample(&[view(5, false, true)], None);
+    expect_that!(oracle.violation(), none());
+    oracle.time(6 * SECOND + 1);
+    // Once it is being taken back either may be in force.
+    oracle.sample(&[view(5, true, true)], None);
+    oracle.began(3, &evacuate(false));
+    oracle.sample(&[view(5, false, true)], None);
+    expect_that!(oracle.violation(), none());
+    oracle.answered(3, &taken(0));
+    oracle.time(12 * SECOND);
+    oracle.sample(&[view(5, true, true)], None);
+    expect_that!(rule(&oracle), some(eq(Rule::EvacuatedInTime)));
+}
+
+#[gtest]
+fn orders_are_answered_in_time_while_the_core_is_stable() {
+    let mut oracle = begun();
+    oracle.began(2, &set(5, 7, true));
+    expect_that!(oracle.answered(2, &Answer::Unsure(String::new())), eq(false));
+    oracle.time(20 * SECOND);
+    oracle.sample(&[], None);
+    oracle.sample(&[], Some(16 * SECOND));
+    expect_that!(oracle.violation(), none());
+    oracle.sample(&[], Some(14 * SECOND));
+    expect_that!(rule(&oracle), some(eq(Rule::AcknowledgedInTime)));
+}
+
+#[gtest]
+fn at_the_end_all_are_alike_and_nothing_is_lost() {
+    let end = |places: &[u64], in_force: &[&[u64]], reader| {
+        let mut oracle = begun();
+        let places = places.iter().map(|place| vec![*place]).collect();
+        oracle.end(&places, &in_force.iter().map(|one| one.to_vec()).collect(), reader);
+        rule(&oracle)
+    };
+    expect_that!(end(&[1], &[&[5, 1]], true), none());
+    expect_that!(end(&[1, 2], &[&[5, 1]], true), some(eq(Rule::Converges)));
+    expect_that!(end(&[1], &[&[5, 1], &[4, 1]], true), some(eq(Rule::Converges)));
+    expect_that!(end(&[1], &[&[5, 1]], false), some(eq(Rule::Converges)));
+    expect_that!(end(&[0], &[&[0, 0]], true), some(eq(Rule::NothingLost)));
+    let mut unseen = begun();
+    unseen.began(2, &set(5, 7, true));
+    unseen.answered(2, &taken(7));
+    unseen.end(&BTreeSet::from([vec![1]]), &BTreeSet::from([vec![5, 1]]), true);
+    expect_that!(rule(&unseen), some(eq(Rule::NothingLost)));
+}
+
+#[gtest]
+fn orders_are_proper_and_their_content_follows_from_the_version() {
+    let mut operators = Operators::default();
+    let put = operators.demand(Undertaking::Put, 3);
+    let Order::Put { base: 0, body } = &put.order else { panic!("{put:?}") };
+    let document = Document::read(body).expect("it reads");
+    expect_that!(document.checked(0), ok(anything()));
+    let Kind::Set { revision: 3, digest: sent, .. } = put.kind else { panic!("{put:?}") };
+    expect_that!(digest(&document), eq(sent));
+    operators.heard(3);
+    let patch = operators.demand(Undertaking::Patch, 2);
+    let Order::Patch { base: 3, body } = &patch.order else { panic!("{patch:?}") };
+    let change = ivyhatch_protocol::configuration::Change::read(body).expect("it reads");
+    let Kind::Set { digest: sent, .. } = patch.kind else { panic!("{patch:?}") };
+    expect_that!(digest(&document.with(&change)), eq(sent));
+    let invalid = operators.demand(Undertaking::Invalid, 1);
+    let Order::Put { body, .. } = &invalid.order else { panic!("{invalid:?}") };
+    expect_that!(Document::read(body).expect("it reads").checked(3), err(anything()));
+}
