--- a/control/src/node.rs
+++ b/control/src/node.rs
@@ -921,7 +921,7 @@
             .as_ref()
             .and_then(|group| group::order(group, part).position(|member| member == self.identity.me));
         let (times, _) = self.rests.get(&part).copied().unwrap_or_default();
-        let rest = REST * (1 + place.unwrap_or(0) as u64) << times.min(3);
+        let rest = (REST * (1 + place.unwrap_or(0) as u64)) << times.min(3);
         self.rests.insert(part, (times + 1, self.now + rest));
         for pending in self.pending.values_mut().filter(|pending| pending.order.part() == part) {
             pending.queued = false;
--- a/control/tests/founding.rs
+++ b/control/tests/founding.rs
@@ -48,6 +48,21 @@
         founder.handle(at, Event::Peer(*from, beat.clone()), &mut out);
     }
     founder.handle(at, Event::Tick, &mut out);
+    // Of a group that is not on the founder's disk yet nobody is told: a loss of power could undo it.
+    let stores = |action: &Action| match action {
+        Action::Store(token, records) => {
+            Some((*token, records.iter().any(|record| matches!(record, Record::Group(_)))))
+        }
+        _ => None,
+    };
+    let writes: Vec<_> = out.iter().filter_map(stores).collect();
+    if writes.iter().any(|(_, group)| *group) {
+        expect_false!(out.iter().any(|action| matches!(action, Action::Tell(_, Peer::Found { .. }))));
+    }
+    for (token, _) in writes {
+        founder.handle(at, Event::Stored(token), &mut out);
+    }
+    founder.handle(at, Event::Tick, &mut out);
     let found = |action: Action| match action {
         Action::Tell(to, Peer::Found { life, .. }) => Some((to, life)),
         _ => None,
