The first owner in the order never rests after it was deposed

Ruled out by a replay with lines: the list's lag and the feed (0.6 s and 40 ms). Change: only those further back in the order rest, 0.3 s a place, without doubling. Test: control/tests/resting.rs fails with the doubling rest. The recorded one-way cut still holds (world/tests/found.rs).

--- a/control/src/node.rs
+++ b/control/src/node.rs
@@ -43,8 +43,8 @@
 const SESSION_ENDS: Nanos = 4 * SECOND;
 /// So long after it has come into touch with its group a control node has heard of all routers.
 const SETTLED: Nanos = 2 * SECOND;
-/// An owner that was deposed by a higher epoch rests for so long, times its place in the order, doubling while that goes on.
-const REST: Nanos = 200 * MILLISECOND;
+/// An owner that was deposed by a higher epoch rests for so long, times its place in the order.
+const REST: Nanos = 300 * MILLISECOND;
 /// The name of the duty to read the platform's list: it lies with the owner of the part into which this falls.
 const LIST_DUTY: &str = "platform-list";
 
@@ -215,8 +215,8 @@
     registers: BTreeMap<Part, Register>,
     states: BTreeMap<Part, State>,
     work: BTreeMap<Part, Work>,
-    /// How often this node was deposed lately, and until when it rests.
-    rests: BTreeMap<Part, (u32, Nanos)>,
+    /// Until when this node, once deposed, does not lead again.
+    rests: BTreeMap<Part, Nanos>,
     asked: BTreeMap<Part, Nanos>,
     servers_asked: Nanos,
     feed: Feed,
@@ -438,7 +438,7 @@
         self.recall(out);
         for part in Part::all() {
             let mine = self.owner(part) == Some(self.identity.me);
-            let rests = self.rests.get(&part).is_some_and(|(_, until)| self.now < *until);
+            let rests = self.rests.get(&part).is_some_and(|until| self.now < *until);
             let Some(register) = self.registers.get_mut(&part) else { continue };
             let mut effects = Vec::new();
             match (mine, register.is_owner()) {
@@ -448,8 +448,8 @@
                 _ => register.tick(self.now, &mut effects),
             }
             self.carry_out(part, effects, out);
-            // Who stands back of itself, or has led for a while, was not in anybody's way.
-            if !mine || self.rests.get(&part).is_some_and(|(_, until)| self.now >= until + 3 * SECOND) {
+            // Who stands back of itself was in nobody's way.
+            if !mine {
                 self.rests.remove(&part);
             }
         }
@@ -914,15 +914,13 @@
         if let Some(work) = self.work.get_mut(&part) {
             *work = Work::default();
         }
-        // Where a link is cut one way two may take themselves for the owner, and depose each other without end: each rests for a
-        // while, the one further back in the order for longer.
+        // Where a link is cut one way two may take themselves for the owner, and depose each other without end: the one further back
+        // in the order rests for a while. The first never does, as nobody else leads while it is there.
         let place = self
             .group
             .as_ref()
             .and_then(|group| group::order(group, part).position(|member| member == self.identity.me));
-        let (times, _) = self.rests.get(&part).copied().unwrap_or_default();
-        let rest = (REST * (1 + place.unwrap_or(0) as u64)) << times.min(3);
-        self.rests.insert(part, (times + 1, self.now + rest));
+        self.rests.insert(part, self.now + REST * place.unwrap_or(0) as u64);
         for pending in self.pending.values_mut().filter(|pending| pending.order.part() == part) {
             pending.queued = false;
         }
