--- /dev/null
+++ b/control/src/control_plane.rs
@@ -0,0 +1,356 @@
+//! The whole of a control node's decisions: one input goes in, outputs come out.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use ivyhatch_protocol::Nanos;
+use ivyhatch_protocol::feed::Position;
+use ivyhatch_protocol::ids::{Epoch, NodeId, Part, ReplicaId, mix};
+use ivyhatch_protocol::peer::{ConsensusMessage, Membership, Peer, ReplicaStatus};
+use ivyhatch_protocol::servers::List;
+
+use crate::Record;
+use crate::admin::{PartitionQueue, PendingRequest};
+use crate::feed::Feed;
+use crate::heartbeats::PeerState;
+use crate::interface::{Identity, Input, Output, RequestId, SessionId, Token};
+use crate::membership::StateCollection;
+use crate::partition::{Effect, PartitionReplica};
+use crate::routers::Routers;
+use crate::server_list_duty::ListDuty;
+use crate::state::State;
+use crate::stored::Stored;
+use crate::watch::WatchSession;
+
+/// The control plane of one control node.
+pub struct ControlPlane {
+    pub(crate) identity: Identity,
+    pub(crate) now: Nanos,
+    pub(crate) started: Nanos,
+    /// This replica; none without a disk.
+    pub(crate) replica: Option<ReplicaId>,
+    /// The disk was formatted on the first start of the whole system: only such a replica may found the first membership.
+    pub(crate) may_bootstrap: bool,
+    /// The record with which the disk is formatted, until it is handed to the embedder, and why that is needed.
+    unformatted: Option<(Record, &'static str)>,
+    pub(crate) status: ReplicaStatus,
+    pub(crate) membership: Option<Membership>,
+    /// The generation in which this replica became a voter with all the state that it needs.
+    pub(crate) joined: Option<u64>,
+    /// The write that holds the first membership, until it is on the disk: no other node is sent one that a loss of power undoes.
+    pub(crate) bootstrap_write: Option<Token>,
+    pub(crate) collection: StateCollection,
+    pub(crate) state_asked: Nanos,
+    /// The write that holds the collected state, and the generation for which it was collected.
+    pub(crate) state_write: Option<(Token, u64)>,
+    /// Decides on the next membership, for the present generation only.
+    pub(crate) membership_partition: PartitionReplica,
+    pub(crate) leaving_since: Option<Nanos>,
+    pub(crate) peers: BTreeMap<NodeId, PeerState>,
+    pub(crate) links: Vec<NodeId>,
+    pub(crate) partitions: BTreeMap<Part, PartitionReplica>,
+    pub(crate) states: BTreeMap<Part, State>,
+    pub(crate) queues: BTreeMap<Part, PartitionQueue>,
+    /// Until when this node, once it has stepped down, does not start an election.
+    pub(crate) backoff_until: BTreeMap<Part, Nanos>,
+    pub(crate) fetched_at: BTreeMap<Part, Nanos>,
+    pub(crate) servers_asked: Nanos,
+    pub(crate) feed: Feed,
+    pub(crate) list: List,
+    pub(crate) list_duty: ListDuty,
+    pub(crate) routers: Routers,
+    pub(crate) sessions: BTreeMap<SessionId, WatchSession>,
+    pub(crate) sessions_sent: Nanos,
+    pub(crate) pending: BTreeMap<RequestId, PendingRequest>,
+    writes: BTreeMap<Token, Vec<(NodeId, Peer)>>,
+    next_token: Token,
+    pub(crate) next_number: u64,
+    pub(crate) heartbeats: VecDeque<(u64, Nanos)>,
+    pub(crate) heartbeat_at: Nanos,
+    /// Since when this node has been in contact with a quorum.
+    pub(crate) quorum_since: Option<Nanos>,
+    inbox: VecDeque<(NodeId, Peer)>,
+}
+
+impl ControlPlane {
+    /// A control node with what its disk holds.
+    pub fn new(identity: Identity, stored: Stored, now: Nanos) -> Self {
+        let here = |replica: &ReplicaId| replica.node == identity.node;
+        let foreign = stored.replica.is_some_and(|(replica, _)| !here(&replica));
+        // A disk that was formatted on another machine is a copy, or was moved: what it promised was promised by another replica.
+        let mut stored = if foreign { Stored::default() } else { stored };
+        let drawn = ReplicaId { node: identity.node, disk: mix(identity.incarnation) };
+        let format = Record::Formatted { replica: drawn, first_start: identity.first_start };
+        let reason = if foreign { "another_machines_disk" } else { "empty_disk" };
+        let unformatted = (identity.has_disk && stored.replica.is_none()).then_some((format, reason));
+        unformatted.iter().for_each(|(record, _)| stored.apply(record.clone()));
+        let mut partition = |part: Part| {
+            let state = stored.partitions.remove(&part).unwrap_or_default();
+            (part, PartitionReplica::new(identity.node, identity.incarnation, state))
+        };
+        let membership_partition = partition(Part::MEMBERSHIP).1;
+        let partitions = Part::all().map(&mut partition).collect();
+        let mut plane = Self {
+            now,
+            started: now,
+            replica: stored.replica.map(|(replica, _)| replica),
+            may_bootstrap: stored.replica.is_some_and(|(_, first_start)| first_start),
+            unformatted,
+            status: ReplicaStatus::Uninitialized,
+            membership: stored.membership,
+            joined: stored.joined,
+            bootstrap_write: None,
+            collection: StateCollection::default(),
+            state_asked: 0,
+            state_write: None,
+            membership_partition,
+            leaving_since: None,
+            peers: BTreeMap::new(),
+            links: Vec::new(),
+            partitions,
+            states: Part::all().map(|part| (part, State::empty(part))).collect(),
+            queues: Part::all().map(|part| (part, PartitionQueue::default())).collect(),
+            backoff_until: BTreeMap::new(),
+            fetched_at: BTreeMap::new(),
+            servers_asked: 0,
+            feed: Feed::default(),
+            list: List::default(),
+            list_duty: ListDuty::default(),
+            routers: Routers::default(),
+            sessions: BTreeMap::new(),
+            sessions_sent: 0,
+            pending: BTreeMap::new(),
+            writes: BTreeMap::new(),
+            next_token: 0,
+            // Numbers of an earlier process must not be taken for this one's.
+            next_number: identity.incarnation & 0xffff_ffff_0000_0000,
+            heartbeats: VecDeque::new(),
+            heartbeat_at: 0,
+            quorum_since: None,
+            inbox: VecDeque::new(),
+            identity,
+        };
+        plane.status = plane.status_in_membership();
+        plane.set_voters(&mut Vec::new());
+        plane.hand_out_committed(stored.committed);
+        plane
+    }
+
+    /// What is known to be committed is handed out right after a start: followers need not wait until there is a quorum. They are
+    /// told that it may not be the newest.
+    fn hand_out_committed(&mut self, committed: BTreeMap<Part, (Epoch, u64)>) {
+        for (part, (epoch, sequence)) in committed {
+            let partition = self.partitions.get_mut(&part);
+            let known = partition.and_then(|partition| partition.mark_committed(epoch, sequence));
+            if let Some(state) = known.and_then(|committed| State::read(part, &committed.value)) {
+                self.feed.committed(part, sequence, &state);
+                self.states.insert(part, state);
+            }
+        }
+    }
+
+    /// Takes one input in and adds what is to be done.
+    pub fn handle(&mut self, now: Nanos, input: Input, out: &mut Vec<Output>) {
+        self.now = self.now.max(now);
+        if let Some((formatted, reason)) = self.unformatted.take() {
+            let replica = self.replica.unwrap_or_default();
+            out.push(Output::Log("formatted", format!("replica={replica} reason={reason}")));
+            self.store(vec![formatted], Vec::new(), out);
+        }
+        match input {
+            Input::Tick => self.tick(out),
+            Input::Connected(node) => self.connected(node, out),
+            Input::Peer(from, message) => self.inbox.push_back((from, message)),
+            Input::Stored(token) => self.stored(token, out),
+            Input::Admin(id, request) => self.admin_request(id, request, out),
+            Input::AdminCancelled(id) => self.admin_cancelled(id),
+            Input::Follower(session, message) => self.follower_message(session, message, out),
+            Input::Closed(session) => self.session_closed(session),
+            Input::ServerList(servers) => self.server_list_read(servers, out),
+            Input::ServerListFailed => self.server_list_failed(out),
+            Input::Seeds(seeds) => self.identity.seeds = seeds,
+            Input::Leave => self.leave(out),
+        }
+        while let Some((from, message)) = self.inbox.pop_front() {
+            self.peer_message(from, message, out);
+        }
+        self.publish(out);
+    }
+
+    fn tick(&mut self, out: &mut Vec<Output>) {
+        self.choose_links(out);
+        self.bootstrap(out);
+        self.replace_voters(out);
+        self.collect_state(out);
+        self.contend(out);
+        self.expire_requests(out);
+        self.route_all(out);
+        self.read_server_list(out);
+        self.tend_sessions(out);
+        self.note_quorum(out);
+        self.heartbeat_if_due(out);
+        self.end_if_left(out);
+    }
+
+    fn peer_message(&mut self, from: NodeId, message: Peer, out: &mut Vec<Output>) {
+        self.note_heard(from, out);
+        match message {
+            Peer::Heartbeat(heartbeat) => self.on_heartbeat(from, heartbeat, out),
+            Peer::Membership(membership) => self.adopt(membership, out),
+            Peer::StateTransferRequest { incarnation, generation } => {
+                self.hand_out_state(from, incarnation, generation, out);
+            }
+            Peer::StateTransfer { incarnation, generation, disk, partitions } => {
+                if incarnation == self.identity.incarnation {
+                    self.state_arrived(ReplicaId { node: from, disk }, generation, partitions, out);
+                }
+            }
+            Peer::Consensus { generation, part, message } => {
+                self.on_consensus(from, generation, part, message, out);
+            }
+            Peer::Forward { number, heard, request } => self.on_forward(from, number, heard, request, out),
+            Peer::Forwarded { number, response } => self.on_forwarded(number, response, out),
+            Peer::Sessions(routers) => self.routers.tell(self.now, from, routers),
+            Peer::Servers(news) => self.on_server_news(from, news, out),
+            Peer::WantServers => self.send_server_list(from, out),
+        }
+    }
+
+    fn on_consensus(
+        &mut self,
+        from: NodeId,
+        generation: u64,
+        part: Part,
+        message: ConsensusMessage,
+        out: &mut Vec<Output>,
+    ) {
+        // What is committed stays so under any membership; everything else counts only under the sender's.
+        let learns = matches!(
+            message,
+            ConsensusMessage::Commit { .. } | ConsensusMessage::Fetch { .. } | ConsensusMessage::Committed(_)
+        );
+        if generation != self.generation() && !learns {
+            if generation < self.generation() {
+                self.send_membership(from, out);
+            }
+            return;
+        }
+        let (now, votes) = (self.now, self.votes());
+        let Some(partition) = self.partition_mut(part) else { return };
+        let mut effects = Vec::new();
+        partition.handle(now, from, message, votes, &mut effects);
+        self.carry_out(part, effects, out);
+        self.drive(part, out);
+    }
+
+    fn partition_mut(&mut self, part: Part) -> Option<&mut PartitionReplica> {
+        match part {
+            Part::MEMBERSHIP => Some(&mut self.membership_partition),
+            _ => self.partitions.get_mut(&part),
+        }
+    }
+
+    /// Carries out what a partition wants done.
+    pub(crate) fn carry_out(&mut self, part: Part, effects: Vec<Effect>, out: &mut Vec<Output>) {
+        let generation = self.generation();
+        let consensus = |message| Peer::Consensus { generation, part, message };
+        for effect in effects {
+            match effect {
+                Effect::Send(to, message) => self.send(to, consensus(message), out),
+                Effect::Promise(epoch, to, message) => {
+                    self.store(vec![Record::Promised(part, epoch)], vec![(to, consensus(message))], out);
+                }
+                Effect::Accept(value, to, message) => {
+                    self.store(vec![Record::Accepted(part, value)], vec![(to, consensus(message))], out);
+                }
+                Effect::Committed(value) if part == Part::MEMBERSHIP => {
+                    self.membership_decided(&value, out);
+                }
+                Effect::Committed(value) => self.committed(part, value, out),
+                Effect::QuorumConfirmed(number) => self.quorum_confirmed(part, number, out),
+                Effect::SteppedDown => self.stepped_down(part, out),
+            }
+        }
+    }
+
+    pub(crate) fn send(&mut self, to: NodeId, message: Peer, out: &mut Vec<Output>) {
+        if to == self.identity.node {
+            self.inbox.push_back((to, message));
+        } else {
+            out.push(Output::Send(to, message));
+        }
+    }
+
+    pub(crate) fn send_to_all(&self, message: &Peer, out: &mut Vec<Output>) {
+        out.extend(self.peers.keys().map(|to| Output::Send(*to, message.clone())));
+    }
+
+    /// Has records stored, and messages sent once they and all before them are on the disk.
+    pub(crate) fn store(
+        &mut self,
+        records: Vec<Record>,
+        then: Vec<(NodeId, Peer)>,
+        out: &mut Vec<Output>,
+    ) -> Token {
+        self.next_token += 1;
+        self.writes.insert(self.next_token, then);
+        out.push(Output::Store(self.next_token, records));
+        self.next_token
+    }
+
+    fn stored(&mut self, token: Token, out: &mut Vec<Output>) {
+        if self.bootstrap_write == Some(token) {
+            self.bootstrap_write = None;
+        }
+        if let Some((_, generation)) = self.state_write.take_if(|(write, _)| *write == token) {
+            self.state_stored(generation, out);
+        }
+        for (to, message) in self.writes.remove(&token).unwrap_or_default() {
+            self.send(to, message, out);
+        }
+    }
+
+    /// Where clients of a region should go.
+    pub fn directory(&self, region: &str) -> Vec<String> {
+        self.routers.near(region)
+    }
+
+    /// Whether a zone is one of the deployment's.
+    pub fn knows_zone(&self, zone: &str) -> bool {
+        self.identity.zones.contains(zone)
+    }
+
+    /// This replica; none without a disk.
+    pub fn replica(&self) -> Option<ReplicaId> {
+        self.replica
+    }
+
+    /// Where the replica stands towards the membership.
+    pub fn status(&self) -> ReplicaStatus {
+        self.status
+    }
+
+    /// The newest membership that is known here.
+    pub fn membership(&self) -> Option<&Membership> {
+        self.membership.as_ref()
+    }
+
+    /// What is known to be committed of a partition: its number, and what it holds.
+    pub fn committed_state(&self, part: Part) -> (u64, Option<&State>) {
+        (self.partitions.get(&part).map_or(0, PartitionReplica::sequence), self.states.get(&part))
+    }
+
+    /// The epoch under which this node leads a partition now, if it does.
+    pub fn leads(&self, part: Part) -> Option<Epoch> {
+        self.partitions.get(&part).and_then(PartitionReplica::leads)
+    }
+
+    /// The list of servers as it is known here.
+    pub fn list(&self) -> &List {
+        &self.list
+    }
+
+    /// How far this node is with all that is followed.
+    pub(crate) fn position(&self) -> Position {
+        Position { servers: self.list.position(), ..self.feed.position() }
+    }
+}
--- a/control/src/feed.rs
+++ b/control/src/feed.rs
@@ -24,7 +24,7 @@
 
 impl Feed {
     /// Takes a decision in.
-    pub fn decided(&mut self, part: Part, sequence: u64, state: &State) {
+    pub fn committed(&mut self, part: Part, sequence: u64, state: &State) {
         match state {
             State::Configured(configured) => self.configured(sequence, configured.document.clone()),
             State::Evacuated(evacuated) => {
--- a/control/src/lib.rs
+++ b/control/src/lib.rs
@@ -1,36 +1,54 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
-//! A control node of the system: decides, and does no I/O. Messages, ends of writes and the time go in, messages, writes and
-//! answers come out; the time is the steady clock's, told by whoever embeds it.
+//! The control plane as one control node runs it: decides, and does no I/O. Messages, ends of writes and the time go in, messages,
+//! writes and responses come out; the time is the steady clock's, told by whoever embeds it.
 //!
-//! Reading order: [`register`] decides on one part among a group, [`group`] tells who that is and how one that has forgotten its
-//! past comes back, [`state`] says what an order does to a part, [`routers`] keeps the sessions,
-//! [`feed`] what those who follow are told, and [`node`] holds all of it together.
+//! Reading order: [`partition`] agrees on one partition among the voters, [`membership`] tells who votes and how a replica takes
+//! another's seat, [`state`] says what a request does to a partition, [`routers`] keeps the routers' sessions, [`feed`] what
+//! followers are sent, [`interface`] what goes in and comes out, and [`ControlPlane`] holds all of it together, one module for each
+//! concern.
 
+mod admin;
+mod control_plane;
 pub mod feed;
-pub mod group;
-pub mod node;
-pub mod register;
+mod heartbeats;
+pub mod interface;
+mod leadership;
+pub mod membership;
+pub mod partition;
+mod reconfiguration;
 pub mod routers;
+mod server_list_duty;
 pub mod state;
 pub mod stored;
+mod watch;
 
-pub use node::{Action, Event, Identity, Node, OrderId, SessionId, Token};
+pub use control_plane::ControlPlane;
+pub use interface::{Identity, Input, Output, RequestId, SessionId, Token};
 
-use ivyhatch_protocol::ids::{Epoch, Part};
-use ivyhatch_protocol::peer::{Accepted, Group};
+use ivyhatch_protocol::ids::{Epoch, Part, ReplicaId};
+use ivyhatch_protocol::peer::{AcceptedValue, Membership};
 use speedy::{Readable, Writable};
 
 /// What a control node writes to its disk. All of it together, in order, is what it has promised.
 #[derive(Clone, Debug, PartialEq, Eq, Readable, Writable)]
 pub enum Record {
-    /// The group that it is a member of.
-    Group(Group),
-    /// It refuses lower epochs.
+    /// The disk begins as this replica's; whatever came before does not count.
+    Formatted {
+        /// The replica.
+        replica: ReplicaId,
+        /// Whether this was on the first start of the whole system.
+        first_start: bool,
+    },
+    /// The newest membership. Nothing is promised or accepted under an older one from here on.
+    Membership(Membership),
+    /// The replica holds the state with which it may vote, as the voter that joined in this generation.
+    Joined(u64),
+    /// Lower epochs of the partition are rejected.
     Promised(Part, Epoch),
-    /// What a part was set to, and that lower epochs are refused.
-    Accepted(Part, Accepted),
-    /// What a part was set to under this epoch, as its change of this number, is decided: it may be told to all who follow without
+    /// The value that was accepted for the partition; lower epochs are rejected.
+    Accepted(Part, AcceptedValue),
+    /// What was accepted under this epoch, as the change of this number, is committed: it may be handed out to followers without
     /// asking anybody.
-    Decided(Part, Epoch, u64),
+    Committed(Part, Epoch, u64),
 }
--- a/control/src/state.rs
+++ b/control/src/state.rs
@@ -4,21 +4,21 @@
 
 use ivyhatch_protocol::configuration::{Change, ConfigurationError, Document};
 use ivyhatch_protocol::ids::{Part, hash};
-use ivyhatch_protocol::peer::{Answer, Order};
+use ivyhatch_protocol::peer::{AdminRequest, AdminResponse};
 use speedy::{Readable, Writable};
 
-/// Orders that were taken are remembered for so many versions: one that is sent again unchanged has been taken, also when it is no
-/// longer the newest.
-const REMEMBERED: usize = 64;
+/// Requests that were taken are remembered for so many versions: one that is sent again unchanged has been taken, also when it is no
+/// longer the newest. Beyond that it is answered as any other that builds on an old version.
+const REMEMBERED: usize = 512;
 
 /// What becomes of an order.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Verdict {
     /// It changes nothing.
-    Answer(Answer),
+    Answer(AdminResponse),
     /// Once the part is set to this, the answer goes out.
-    Set(Vec<u8>, Answer),
-    /// The newest configuration is to be told, by one that is sure to be the owner.
+    Set(Vec<u8>, AdminResponse),
+    /// The newest configuration is to be told, by a leader that is sure to lead still.
     Tell,
 }
 
@@ -48,12 +48,12 @@
 }
 
 /// A digest by which an order is known again.
-pub fn digest(order: &Order) -> u64 {
-    match order {
-        Order::Put { base, body } => hash(body) ^ base.rotate_left(17),
-        Order::Patch { base, body } => !(hash(body) ^ base.rotate_left(17)),
-        Order::Read => 0,
-        Order::Evacuate { zone, active } => hash(zone.as_bytes()) ^ u64::from(*active),
+pub fn digest(request: &AdminRequest) -> u64 {
+    match request {
+        AdminRequest::Put { base, body } => hash(body) ^ base.rotate_left(17),
+        AdminRequest::Patch { base, body } => !(hash(body) ^ base.rotate_left(17)),
+        AdminRequest::Read => 0,
+        AdminRequest::Evacuate { zone, active, .. } => hash(zone.as_bytes()) ^ u64::from(*active),
     }
 }
 
@@ -74,18 +74,28 @@
         }
     }
 
-    /// What an order does. Decided by the part's owner, once.
-    pub fn decide(&self, order: &Order) -> Verdict {
-        match (self, order) {
-            (Self::Configured(configured), Order::Put { base, body }) => {
-                configured.decide(*base, digest(order), |_| Document::read(body))
+    /// How often a zone has been evacuated or taken back.
+    pub fn zone_changes(&self, zone: &str) -> u64 {
+        match self {
+            Self::Evacuated(evacuated) => evacuated.zones.get(zone).map_or(0, |(_, changes)| *changes),
+            Self::Configured(_) => 0,
+        }
+    }
+
+    /// What an order does. Decided by the partition's leader, once.
+    pub fn decide(&self, request: &AdminRequest) -> Verdict {
+        match (self, request) {
+            (Self::Configured(configured), AdminRequest::Put { base, body }) => {
+                configured.decide(*base, digest(request), |_| Document::read(body))
             }
-            (Self::Configured(configured), Order::Patch { base, body }) => {
-                configured.decide(*base, digest(order), |current| Ok(current.with(&Change::read(body)?)))
+            (Self::Configured(configured), AdminRequest::Patch { base, body }) => {
+                configured.decide(*base, digest(request), |current| Ok(current.with(&Change::read(body)?)))
             }
-            (Self::Configured(_), Order::Read) => Verdict::Tell,
-            (Self::Evacuated(evacuated), Order::Evacuate { zone, active }) => evacuated.decide(zone, *active),
-            _ => Verdict::Answer(Answer::Invalid("this part does not hold that".to_owned())),
+            (Self::Configured(_), AdminRequest::Read) => Verdict::Tell,
+            (Self::Evacuated(evacuated), AdminRequest::Evacuate { zone, active, changes }) => {
+                evacuated.decide(zone, *active, *changes)
+            }
+            _ => Verdict::Answer(AdminResponse::Invalid("this part does not hold that".to_owned())),
         }
     }
 }
@@ -99,19 +109,19 @@
     ) -> Verdict {
         let revision = self.document.revision;
         if self.taken.contains(&digest) {
-            return Verdict::Answer(Answer::Taken { revision });
+            return Verdict::Answer(AdminResponse::Taken { revision });
         }
         if base != revision {
-            return Verdict::Answer(Answer::Conflict { revision });
+            return Verdict::Answer(AdminResponse::Conflict { revision });
         }
         let document = match read(&self.document) {
             Ok(document) => document,
-            Err(error) => return Verdict::Answer(Answer::Invalid(error.to_string())),
+            Err(error) => return Verdict::Answer(AdminResponse::Invalid(error.to_string())),
         };
         if let Err(error) = document.checked(revision) {
-            return Verdict::Answer(Answer::Invalid(error.to_string()));
+            return Verdict::Answer(AdminResponse::Invalid(error.to_string()));
         }
-        let answer = Answer::Taken { revision: document.revision };
+        let answer = AdminResponse::Taken { revision: document.revision };
         let mut taken = self.taken.clone();
         taken.push(digest);
         let surplus = taken.len().saturating_sub(REMEMBERED);
@@ -121,21 +131,26 @@
 }
 
 impl Evacuated {
-    fn decide(&self, zone: &str, active: bool) -> Verdict {
-        let answer = Answer::Taken { revision: 0 };
+    fn decide(&self, zone: &str, active: bool, known_changes: u64) -> Verdict {
+        let answer = AdminResponse::Taken { revision: 0 };
         let (is, changes) = self.zones.get(zone).copied().unwrap_or_default();
         if is == active {
             return Verdict::Answer(answer);
         }
+        if known_changes != changes {
+            let text =
+                "the zone's evacuation has changed since this was sent: send it again if it still holds";
+            return Verdict::Answer(AdminResponse::Unavailable(text.to_owned()));
+        }
         let mut changed = self.clone();
         changed.zones.insert(zone.to_owned(), (active, changes + 1));
         set(&changed, answer)
     }
 }
 
-fn set<S: Writable<speedy::LittleEndian>>(state: &S, answer: Answer) -> Verdict {
+fn set<S: Writable<speedy::LittleEndian>>(state: &S, answer: AdminResponse) -> Verdict {
     match state.write_to_vec() {
         Ok(value) => Verdict::Set(value, answer),
-        Err(error) => Verdict::Answer(Answer::Unsure(error.to_string())),
+        Err(error) => Verdict::Answer(AdminResponse::Unavailable(error.to_string())),
     }
 }
--- a/control/src/stored.rs
+++ b/control/src/stored.rs
@@ -2,50 +2,67 @@
 
 use std::collections::BTreeMap;
 
-use ivyhatch_protocol::ids::{Epoch, Part};
-use ivyhatch_protocol::peer::{Group, Kept};
+use ivyhatch_protocol::ids::{Epoch, Part, ReplicaId};
+use ivyhatch_protocol::peer::{AcceptorState, Membership};
 
 use crate::Record;
 
 /// All that the records say together.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Stored {
-    /// The group, once there is one.
-    pub group: Option<Group>,
-    /// Part by part.
-    pub parts: BTreeMap<Part, Kept>,
-    /// Part by part, the epoch and number of the last change that is known to be decided.
-    pub decided: BTreeMap<Part, (Epoch, u64)>,
+    /// The replica as which the disk was formatted, and whether that was on the first start of the whole system.
+    pub replica: Option<(ReplicaId, bool)>,
+    /// The newest membership, once there is one.
+    pub membership: Option<Membership>,
+    /// The generation in which the replica became a voter, once it holds the state with which it may vote.
+    pub joined: Option<u64>,
+    /// What is promised and accepted, by partition.
+    pub partitions: BTreeMap<Part, AcceptorState>,
+    /// By partition, the epoch and number of the last change that is known to be committed.
+    pub committed: BTreeMap<Part, (Epoch, u64)>,
 }
 
 impl Stored {
     /// Takes one more record in.
     pub fn apply(&mut self, record: Record) {
         match record {
-            Record::Group(group) => self.group = Some(group),
+            Record::Formatted { replica, first_start } => {
+                *self = Self { replica: Some((replica, first_start)), ..Self::default() };
+            }
+            Record::Membership(membership) => {
+                // Each generation decides on the next one anew.
+                self.partitions.remove(&Part::MEMBERSHIP);
+                self.membership = Some(membership);
+            }
+            Record::Joined(generation) => self.joined = Some(generation),
             Record::Promised(part, epoch) => {
-                let kept = self.parts.entry(part).or_default();
-                kept.promised = kept.promised.max(epoch);
+                let state = self.partitions.entry(part).or_default();
+                state.promised = state.promised.max(epoch);
+            }
+            Record::Accepted(part, value) => {
+                let state = self.partitions.entry(part).or_default();
+                state.promised = state.promised.max(value.epoch);
+                state.accepted = Some(value);
             }
-            Record::Accepted(part, accepted) => {
-                let kept = self.parts.entry(part).or_default();
-                kept.promised = kept.promised.max(accepted.epoch);
-                kept.accepted = Some(accepted);
+            Record::Committed(part, epoch, sequence) => {
+                self.committed.insert(part, (epoch, sequence));
             }
-            Record::Decided(part, epoch, sequence) => drop(self.decided.insert(part, (epoch, sequence))),
         }
     }
 
     /// Records that say the same.
     pub fn records(&self) -> Vec<Record> {
-        let group = self.group.clone().map(Record::Group);
-        let part = |(part, kept): (&Part, &Kept)| {
-            let accepted = kept.accepted.clone().map(|accepted| Record::Accepted(*part, accepted));
-            let decided =
-                self.decided.get(part).map(|(epoch, sequence)| Record::Decided(*part, *epoch, *sequence));
-            accepted.into_iter().chain([Record::Promised(*part, kept.promised)]).chain(decided)
+        let formatted = self.replica.map(|(replica, first_start)| Record::Formatted { replica, first_start });
+        let membership = self.membership.clone().map(Record::Membership);
+        let joined = self.joined.map(Record::Joined);
+        let partition = |(part, state): (&Part, &AcceptorState)| {
+            let accepted = state.accepted.clone().map(|value| Record::Accepted(*part, value));
+            let committed = self.committed.get(part);
+            let committed = committed.map(|(epoch, sequence)| Record::Committed(*part, *epoch, *sequence));
+            accepted.into_iter().chain([Record::Promised(*part, state.promised)]).chain(committed)
         };
-        group.into_iter().chain(self.parts.iter().flat_map(part)).collect()
+        let head = formatted.into_iter().chain(membership).chain(joined);
+        head.chain(self.partitions.iter().flat_map(partition)).collect()
     }
 }
 
--- /dev/null
+++ b/control/tests/common/mod.rs
@@ -0,0 +1,120 @@
+//! Control nodes and their heartbeats, as the tests need them.
+#![allow(dead_code)]
+
+use std::collections::BTreeSet;
+
+use ivyhatch_control::{ControlPlane, Identity, Input, Output, Record};
+use ivyhatch_protocol::ids::{NodeId, Part, ReplicaId};
+use ivyhatch_protocol::peer::{ConsensusMessage, Heartbeat, Membership, Peer, ReplicaStatus, Voter};
+use ivyhatch_protocol::{MILLISECOND, Nanos, SECOND};
+
+pub const NODES: [NodeId; 3] = [NodeId(1), NodeId(2), NodeId(3)];
+pub const GRACE: Nanos = 6 * SECOND;
+
+pub fn replica(node: u32) -> ReplicaId {
+    ReplicaId { node: NodeId(node), disk: u64::from(node) * 100 }
+}
+
+pub fn zone(node: u32) -> String {
+    format!("zone-{node}")
+}
+
+/// The first membership of the three nodes, each in a zone of its own.
+pub fn membership() -> Membership {
+    let voter = |node| Voter { replica: replica(node), zone: zone(node), joined: 1 };
+    Membership { generation: 1, voters: (1..=3).map(voter).collect(), previous: Vec::new() }
+}
+
+pub fn identity(node: u32, first_start: bool) -> Identity {
+    Identity {
+        node: NodeId(node),
+        zone: zone(node),
+        incarnation: 11,
+        has_disk: true,
+        first_start,
+        seeds: NODES.to_vec(),
+        zones: BTreeSet::from(["a".to_owned()]),
+        list_every: SECOND,
+        grace: GRACE,
+    }
+}
+
+/// The records of a voter of this membership.
+pub fn records(node: u32, membership: Membership) -> Vec<Record> {
+    vec![Record::Formatted { replica: replica(node), first_start: true }, Record::Membership(membership)]
+}
+
+/// A voter of this membership that has just started.
+pub fn voter(node: u32, membership: Membership) -> ControlPlane {
+    let stored = records(node, membership).into_iter().collect();
+    ControlPlane::new(identity(node, false), stored, 0)
+}
+
+/// A heartbeat of another voter, under the first membership.
+pub fn heartbeat(node: u32, number: u64) -> Heartbeat {
+    Heartbeat {
+        incarnation: u64::from(node),
+        number,
+        disk: Some(replica(node).disk),
+        zone: zone(node),
+        status: ReplicaStatus::Voter,
+        generation: 1,
+        reachable: (1..=9).map(NodeId).collect(),
+        has_quorum: true,
+        reads_list: true,
+        ..Heartbeat::default()
+    }
+}
+
+/// Has a node hear these, and then that time has passed.
+pub fn hear(plane: &mut ControlPlane, at_ms: u64, messages: &[(u32, Peer)]) -> Vec<Output> {
+    let (at, mut out) = (at_ms * MILLISECOND, Vec::new());
+    for (from, message) in messages {
+        plane.handle(at, Input::Peer(NodeId(*from), message.clone()), &mut out);
+    }
+    plane.handle(at, Input::Tick, &mut out);
+    out
+}
+
+/// The same, and everything that it has stored is on its disk then.
+pub fn hear_and_store(plane: &mut ControlPlane, at_ms: u64, messages: &[(u32, Peer)]) -> Vec<Output> {
+    let mut out = hear(plane, at_ms, messages);
+    let writes: Vec<u64> = out
+        .iter()
+        .filter_map(|output| match output {
+            Output::Store(token, _) => Some(*token),
+            _ => None,
+        })
+        .collect();
+    for token in writes {
+        plane.handle(at_ms * MILLISECOND, Input::Stored(token), &mut out);
+    }
+    out
+}
+
+/// What was sent to a node.
+pub fn sent_to(out: &[Output], node: u32) -> Vec<&Peer> {
+    let message = |output| match output {
+        &Output::Send(to, ref message) if to == NodeId(node) => Some(message),
+        _ => None,
+    };
+    out.iter().filter_map(message).collect()
+}
+
+/// The pairs of the first log line of this event.
+pub fn logged<'a>(out: &'a [Output], event: &str) -> Option<&'a str> {
+    out.iter().find_map(|output| match output {
+        Output::Log(name, pairs) if *name == event => Some(pairs.as_str()),
+        _ => None,
+    })
+}
+
+/// Whether an election for this partition is started.
+pub fn starts_election(out: &[Output], part: Part) -> bool {
+    out.iter().any(|output| match output {
+        Output::Send(_, Peer::Consensus { part: of, message: ConsensusMessage::Prepare { .. }, .. }) => {
+            *of == part
+        }
+        _ => false,
+    })
+}
--- a/protocol/src/ids.rs
+++ b/protocol/src/ids.rs
@@ -28,6 +28,22 @@
     }
 }
 
+/// A replica of the control state: a disk that was formatted on a machine. What is counted in an agreement is counted by replica,
+/// so that a machine that has lost its disk can't be taken for the one that voted before.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Readable, Writable)]
+pub struct ReplicaId {
+    /// The machine.
+    pub node: NodeId,
+    /// Drawn by chance when the disk was formatted.
+    pub disk: u64,
+}
+
+impl fmt::Display for ReplicaId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}/{:08x}", self.node, self.disk >> 32)
+    }
+}
+
 /// The time of one owner of a part. Who has promised one refuses all that are lower. No two owners, and no two lives of one
 /// owner, ever share one: the life's number is drawn by chance.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Readable, Writable)]
@@ -56,8 +72,10 @@
 impl Part {
     /// Holds the configuration.
     pub const CONFIGURATION: Self = Self(0);
+    /// Decides on the next membership. It holds no state beyond that, and is none of [`Part::all`].
+    pub const MEMBERSHIP: Self = Self(HASHED_PARTS + 1);
 
-    /// All parts.
+    /// All parts that hold state.
     pub fn all() -> impl Iterator<Item = Self> {
         (0..=HASHED_PARTS).map(Self)
     }
--- a/protocol/src/peer.rs
+++ b/protocol/src/peer.rs
@@ -1,100 +1,175 @@
-//! Between control nodes.
+//! Messages between control nodes.
 
 use speedy::{Readable, Writable};
 
 use crate::feed::{Router, Servers};
-use crate::ids::{Epoch, NodeId, Part};
+use crate::ids::{Epoch, NodeId, Part, ReplicaId};
 
-/// The control nodes that decide together. Fixed when the system starts for the first time, and stored by each.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Readable, Writable)]
-pub struct Group {
-    /// The members, in order.
-    pub members: Vec<NodeId>,
+/// A control node's seat in the membership: the replica that votes from it.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Readable, Writable)]
+pub struct Voter {
+    /// The replica: its machine, and the disk that it was formatted on.
+    pub replica: ReplicaId,
+    /// The zone of its machine.
+    pub zone: String,
+    /// The generation that made it a voter. One that joined after the first generation counts only once it holds the state of a
+    /// quorum of the generation before.
+    pub joined: u64,
+}
+
+/// The replicas that decide together. Each generation is decided by a quorum of the one before, and differs from it in one voter.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash, Readable, Writable)]
+pub struct Membership {
+    /// Counts the memberships; the first is 1.
+    pub generation: u64,
+    /// The voters, ordered by address.
+    pub voters: Vec<Voter>,
+    /// The voters of the generation before: a new voter takes its state from a quorum of these.
+    pub previous: Vec<Voter>,
+}
+
+impl Membership {
+    /// The number of voters that make a majority.
+    pub fn quorum_size(&self) -> usize {
+        majority(self.voters.len())
+    }
+
+    /// The number of voters that made a majority of the generation before.
+    pub fn previous_quorum_size(&self) -> usize {
+        majority(self.previous.len())
+    }
+
+    /// The addresses of the voters.
+    pub fn nodes(&self) -> impl Iterator<Item = NodeId> {
+        self.voters.iter().map(|voter| voter.replica.node)
+    }
+
+    /// The voter that this replica is, if it is one.
+    pub fn voter(&self, replica: ReplicaId) -> Option<&Voter> {
+        self.voters.iter().find(|voter| voter.replica == replica)
+    }
+
+    /// The voter that this replica was in the generation before, if it was one.
+    pub fn previous_voter(&self, replica: ReplicaId) -> Option<&Voter> {
+        self.previous.iter().find(|voter| voter.replica == replica)
+    }
+
+    /// The next generation: one voter gives its seat to another replica.
+    #[must_use]
+    pub fn with_replacement(&self, replaced: ReplicaId, successor: ReplicaId, zone: &str) -> Self {
+        let generation = self.generation + 1;
+        let seat = |voter: &Voter| match voter.replica == replaced {
+            true => Voter { replica: successor, zone: zone.to_owned(), joined: generation },
+            false => voter.clone(),
+        };
+        let mut voters: Vec<Voter> = self.voters.iter().map(seat).collect();
+        voters.sort_unstable_by_key(|voter| voter.replica);
+        Self { generation, voters, previous: self.voters.clone() }
+    }
 }
 
-/// Where a control node stands towards its group.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Readable, Writable)]
-pub enum Standing {
-    /// The system's first start: it has never promised anything.
-    Fresh,
-    /// It has an empty disk and a past: what it promised is forgotten.
-    Forgotten,
+/// How many of so many make a majority.
+pub fn majority(count: usize) -> usize {
+    count / 2 + 1
+}
+
+/// Where a control node stands towards the membership.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Readable, Writable)]
+pub enum ReplicaStatus {
+    /// It knows of no membership.
+    #[default]
+    Uninitialized,
+    /// It follows what is decided, and does not vote: it is no voter, or does not hold the state yet with which it may vote.
+    Learner,
     /// It votes.
-    Member,
+    Voter,
+    /// It was a voter, and another replica has its seat now. It still hands out its state.
+    Removed,
 }
 
-/// What a part was last set to.
-#[derive(Clone, Debug, PartialEq, Eq, Readable, Writable)]
-pub struct Accepted {
-    /// The epoch of the owner who set it.
+/// The value that a replica has accepted for a partition.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Readable, Writable)]
+pub struct AcceptedValue {
+    /// The epoch of the leader that proposed it.
     pub epoch: Epoch,
-    /// Counts the changes of the part.
+    /// Counts the changes of the partition.
     pub sequence: u64,
-    /// What it was set to.
+    /// The value.
     pub value: Vec<u8>,
 }
 
-/// What a member keeps of a part.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Readable, Writable)]
-pub struct Kept {
-    /// Lower epochs are refused.
+/// What a replica has promised and accepted for a partition.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash, Readable, Writable)]
+pub struct AcceptorState {
+    /// Lower epochs are rejected.
     pub promised: Epoch,
-    /// What it was last set to.
-    pub accepted: Option<Accepted>,
+    /// The value that was accepted last.
+    pub accepted: Option<AcceptedValue>,
 }
 
-/// Deciding on a part.
-#[derive(Clone, Debug, PartialEq, Eq, Readable, Writable)]
-pub enum Deciding {
-    /// An owner begins its epoch.
+impl AcceptorState {
+    /// Takes over what another replica has promised and accepted, where that is newer.
+    pub fn merge(&mut self, other: &Self) {
+        let age = |state: &Self| state.accepted.as_ref().map(|value| (value.epoch, value.sequence));
+        self.promised = self.promised.max(other.promised);
+        if age(other) > age(self) {
+            self.accepted.clone_from(&other.accepted);
+        }
+    }
+}
+
+/// A message of the agreement on one partition.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Readable, Writable)]
+pub enum ConsensusMessage {
+    /// A candidate asks for promises for its epoch.
     Prepare {
         /// Its epoch.
         epoch: Epoch,
     },
-    /// The epoch is promised, and stored.
+    /// The epoch is promised, and the promise is on the disk.
     Promise {
         /// The epoch.
         epoch: Epoch,
-        /// What the part was set to before.
-        accepted: Option<Accepted>,
-    },
-    /// The owner sets the part.
-    Accept(Accepted),
-    /// It is set, and stored.
-    Done {
-        /// The owner's epoch.
+        /// What the replica has accepted before.
+        accepted: Option<AcceptedValue>,
+    },
+    /// The leader proposes a value.
+    Accept(AcceptedValue),
+    /// The value is accepted, and on the disk.
+    Accepted {
+        /// The leader's epoch.
         epoch: Epoch,
         /// The change.
         sequence: u64,
     },
     /// A higher epoch has been promised.
-    Refuse {
-        /// That one.
+    Reject {
+        /// That epoch.
         promised: Epoch,
     },
-    /// Most have set the part so.
+    /// A quorum has accepted this change.
     Commit {
-        /// The owner's epoch.
+        /// The leader's epoch.
         epoch: Epoch,
         /// The change.
         sequence: u64,
     },
-    /// What is the part, as far as it is decided?
+    /// Asks for the newest committed value.
     Fetch {
         /// Only a later change is of interest.
         after: u64,
     },
-    /// So it is decided.
-    Committed(Accepted),
-    /// Does the epoch still stand?
+    /// The newest committed value.
+    Committed(AcceptedValue),
+    /// The leader asks whether its epoch is still the highest that was promised.
     Confirm {
         /// The epoch.
         epoch: Epoch,
         /// Comes back with the answer.
         number: u64,
     },
-    /// It does.
-    Stands {
+    /// It is.
+    Confirmed {
         /// The epoch.
         epoch: Epoch,
         /// As it was asked.
@@ -102,9 +177,9 @@
     },
 }
 
-/// What an operator orders.
+/// What an operator asks for.
 #[derive(Clone, Debug, PartialEq, Eq, Readable, Writable)]
-pub enum Order {
+pub enum AdminRequest {
     /// A whole configuration.
     Put {
         /// The version that it builds on.
@@ -127,11 +202,14 @@
         zone: String,
         /// Whether it is to be evacuated.
         active: bool,
+        /// How often that had changed, as far as the replica knew to which the request came. One that is older than the zone's last
+        /// change was given up by its sender, and is not carried out.
+        changes: u64,
     },
 }
 
-impl Order {
-    /// The part that decides on it.
+impl AdminRequest {
+    /// The partition that decides on it.
     pub fn part(&self) -> Part {
         match self {
             Self::Put { .. } | Self::Patch { .. } | Self::Read => Part::CONFIGURATION,
@@ -142,8 +220,8 @@
 
 /// What an operator is answered.
 #[derive(Clone, Debug, PartialEq, Eq, Readable, Writable)]
-pub enum Answer {
-    /// It is done, and stored on most disks.
+pub enum AdminResponse {
+    /// It is done, and on the disks of a quorum.
     Taken {
         /// The version that is current with it.
         revision: u64,
@@ -154,58 +232,64 @@
     Nothing,
     /// Another version is current.
     Conflict {
-        /// That one.
+        /// That version.
         revision: u64,
     },
     /// It is invalid, and why.
     Invalid(String),
     /// Nobody can tell now; it may have been done. Says what to do.
-    Unsure(String),
+    Unavailable(String),
 }
 
-/// One message.
+/// A message from one control node to another.
 #[derive(Clone, Debug, PartialEq, Readable, Writable)]
 pub enum Peer {
     /// A sign of life, and how far the sender is.
-    Beat(Beat),
-    /// The group has been formed.
-    Found {
-        /// The group.
-        group: Group,
-        /// The life of the receiver for which this holds: a later one may have forgotten something.
-        life: u64,
-    },
-    /// One that has forgotten its past asks for it.
-    Recall {
-        /// The asking life.
-        life: u64,
-    },
-    /// What a member keeps, all of it stored.
-    Recalled {
-        /// The asking life.
-        life: u64,
-        /// The group.
-        group: Group,
-        /// Part by part.
-        parts: Vec<(Part, Kept)>,
-    },
-    /// Deciding on a part.
-    Deciding(Part, Deciding),
-    /// An order, for the owner of its part.
+    Heartbeat(Heartbeat),
+    /// A membership that has been decided.
+    Membership(Membership),
+    /// A replica that may not vote yet asks for the state of one that does.
+    StateTransferRequest {
+        /// The asking process.
+        incarnation: u64,
+        /// The membership for which it asks.
+        generation: u64,
+    },
+    /// All that a replica has promised and accepted. It is on its disk, and nothing is added under an older membership.
+    StateTransfer {
+        /// The asking process.
+        incarnation: u64,
+        /// The sender's membership.
+        generation: u64,
+        /// The sender's disk.
+        disk: u64,
+        /// What it has promised and accepted, by partition.
+        partitions: Vec<(Part, AcceptorState)>,
+    },
+    /// Agreement on one partition, under one membership.
+    Consensus {
+        /// The sender's membership.
+        generation: u64,
+        /// The partition.
+        part: Part,
+        /// The message.
+        message: ConsensusMessage,
+    },
+    /// An operator's request, for the leader of its partition.
     Forward {
-        /// Comes back with the answer.
+        /// Comes back with the response.
         number: u64,
-        /// The number of the owner's beat that the sender has heard last: by it the owner knows how old this may be.
+        /// The number of the leader's heartbeat that the sender has heard last: by it the leader knows how old this may be.
         heard: u64,
-        /// The order.
-        order: Order,
+        /// The request.
+        request: AdminRequest,
     },
-    /// An order's answer.
-    Answered {
+    /// The response to a forwarded request.
+    Forwarded {
         /// As it was forwarded.
         number: u64,
-        /// The answer.
-        answer: Answer,
+        /// The response.
+        response: AdminResponse,
     },
     /// The routers whose sessions stand with the sender; all of them.
     Sessions(Vec<Router>),
@@ -216,28 +300,30 @@
 }
 
 /// A sign of life.
-#[derive(Clone, Debug, PartialEq, Eq, Readable, Writable)]
-pub struct Beat {
-    /// The sender's life.
-    pub life: u64,
-    /// Counts the beats of that life.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Readable, Writable)]
+pub struct Heartbeat {
+    /// The sender's process.
+    pub incarnation: u64,
+    /// Counts the heartbeats of that process.
     pub number: u64,
-    /// Where the sender stands towards the group.
-    pub standing: Standing,
-    /// Whether it knows of a group.
-    pub has_group: bool,
-    /// Whether it has a disk, and so can be a member.
-    pub has_disk: bool,
+    /// The sender's disk; none where it has no disk, and so can't be a voter.
+    pub disk: Option<u64>,
+    /// The zone of its machine.
+    pub zone: String,
+    /// Where the sender stands towards the membership.
+    pub status: ReplicaStatus,
+    /// The newest membership that it knows; 0 for none.
+    pub generation: u64,
+    /// It has been told to end.
+    pub leaving: bool,
     /// From whom it has heard lately.
-    pub hears: Vec<NodeId>,
-    /// Whom it knows.
-    pub knows: Vec<NodeId>,
-    /// It hears most of its group, and they hear it.
-    pub in_touch: bool,
+    pub reachable: Vec<NodeId>,
+    /// It hears a quorum of the voters, and they hear it.
+    pub has_quorum: bool,
     /// It can read the platform's list.
     pub reads_list: bool,
-    /// For each part, its last decided change as far as the sender knows.
-    pub decided: Vec<u64>,
+    /// For each partition, its last committed change as far as the sender knows.
+    pub committed: Vec<u64>,
     /// The list of servers that it has.
     pub servers: (Epoch, u64),
 }
--- a/system/src/control.rs
+++ b/system/src/control.rs
@@ -9,17 +9,17 @@
 use hyper::header::IF_MATCH;
 use hyper::{Method, StatusCode};
 use ivyhatch_control::stored::Stored;
-use ivyhatch_control::{Action, Event, Identity, Node, OrderId, SessionId, Token};
+use ivyhatch_control::{ControlPlane, Identity, Input, Output, RequestId, SessionId, Token};
 use ivyhatch_protocol::MILLISECOND;
 use ivyhatch_protocol::feed::{FromFollower, Server};
 use ivyhatch_protocol::ids::{NodeId, hash, mix};
-use ivyhatch_protocol::peer::{Answer, Order, Peer};
+use ivyhatch_protocol::peer::{AdminRequest, AdminResponse, Peer};
 use ivyhatch_protocol::settings::Settings;
 use tokio::io::AsyncReadExt;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::signal::unix::{SignalKind, signal};
-use tokio::sync::{mpsc, oneshot};
-use tokio::task::{JoinHandle, spawn_local};
+use tokio::sync::{Notify, mpsc, oneshot};
+use tokio::task::{JoinHandle, spawn_local, yield_now};
 use tokio::time::{MissedTickBehavior, interval, sleep, timeout};
 
 use crate::RoleError;
@@ -43,19 +43,40 @@
 /// Time for which clients keep an answer of the directory, in seconds: a router that is lost stays in it for so long.
 const TTL_S: f64 = 2.0;
 
+/// An operator's request that was not answered for so long gets a 503.
+const ADMIN_TIMEOUT: Duration = Duration::from_secs(2);
+/// A process that was told to end does so this long before it would be killed.
+const GRACE_MARGIN: Duration = Duration::from_millis(1500);
+
 struct Host {
-    node: RefCell<Node>,
+    plane: RefCell<ControlPlane>,
     clock: Clock,
     peers: RefCell<BTreeMap<NodeId, Writer>>,
     dialling: RefCell<BTreeMap<NodeId, JoinHandle<()>>>,
     sessions: RefCell<BTreeMap<SessionId, Writer>>,
-    orders: RefCell<BTreeMap<OrderId, oneshot::Sender<Answer>>>,
+    requests: RefCell<BTreeMap<RequestId, oneshot::Sender<AdminResponse>>>,
     next: RefCell<u64>,
     disk: Option<Disk>,
     list: mpsc::UnboundedSender<()>,
+    left: Notify,
     settings: Settings,
 }
 
+/// Withdraws an operator's request whose connection has ended before it was answered.
+struct CancelOnDrop {
+    host: Rc<Host>,
+    request: RequestId,
+}
+
+impl Drop for CancelOnDrop {
+    fn drop(&mut self) {
+        let unanswered = self.host.requests.borrow_mut().remove(&self.request).is_some();
+        if unanswered {
+            self.host.hear(Input::AdminCancelled(self.request));
+        }
+    }
+}
+
 /// Runs the role until the process is told to end.
 pub async fn run(settings: Settings) -> Result<(), RoleError> {
     let clock = Clock::start();
@@ -77,21 +98,22 @@
     let (list, wanted) = mpsc::unbounded_channel();
     let identity = identity(&settings, disk.is_some());
     log::info!(
-        "event=starts role=control node={} zone={} life={:x}",
-        identity.me,
+        "event=starts role=control node={} zone={} incarnation={:x}",
+        identity.node,
         settings.zone,
-        identity.life
+        identity.incarnation
     );
     let host = Rc::new(Host {
-        node: RefCell::new(Node::new(identity, stored, clock.now())),
+        plane: RefCell::new(ControlPlane::new(identity, stored, clock.now())),
         clock,
         peers: RefCell::default(),
         dialling: RefCell::default(),
         sessions: RefCell::default(),
-        orders: RefCell::default(),
+        requests: RefCell::default(),
         next: RefCell::new(0),
         disk,
         list,
+        left: Notify::new(),
         settings,
     });
     if let Some(told) = stored_up_to {
@@ -113,13 +135,14 @@
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
         loop {
             ticks.tick().await;
-            ticking.hear(Event::Tick);
+            ticking.hear(Input::Tick);
         }
     });
     loop {
         tokio::select! {
-            _ = terminate.recv() => break,
+            _ = terminate.recv() => host.hear(Input::Leave),
             _ = hangup.recv() => host.reread(),
+            () = host.left.notified() => break,
         }
     }
     log::info!("event=ends role=control");
@@ -136,54 +159,61 @@
     let bounds = &settings.bounds;
     let pace = (bounds.drain_ms / 6.0).max(LIST_LEAST).max(10_000.0 / settings.cloud_api.rate_per_s.max(0.1));
     Identity {
-        me: settings.ip.into(),
-        life,
+        node: settings.ip.into(),
+        zone: settings.zone.clone(),
+        incarnation: life,
         has_disk,
         first_start: settings.first_start,
         seeds: settings.seeds.iter().map(|seed| NodeId::from(*seed.ip())).collect(),
         zones: settings.zones.keys().cloned().collect::<BTreeSet<_>>(),
-        tolerate: settings.tolerate.machines,
         list_every: pace as u64 * MILLISECOND,
+        grace: grace(settings),
     }
 }
 
+fn grace(settings: &Settings) -> ivyhatch_protocol::Nanos {
+    let grace = Duration::try_from_secs_f64(settings.bounds.grace_s).unwrap_or_default();
+    grace.saturating_sub(GRACE_MARGIN).as_nanos() as u64
+}
+
 impl Host {
-    fn hear(self: &Rc<Self>, event: Event) {
-        let mut actions = Vec::new();
-        self.node.borrow_mut().handle(self.clock.now(), event, &mut actions);
-        for action in actions {
-            self.act(action);
+    fn hear(self: &Rc<Self>, input: Input) {
+        let mut outputs = Vec::new();
+        self.plane.borrow_mut().handle(self.clock.now(), input, &mut outputs);
+        for output in outputs {
+            self.carry_out(output);
         }
     }
 
-    fn act(self: &Rc<Self>, action: Action) {
-        match action {
-            Action::Tell(to, message) => {
+    fn carry_out(self: &Rc<Self>, output: Output) {
+        match output {
+            Output::Send(to, message) => {
                 let sent = self.peers.borrow().get(&to).map(|writer| writer.send(&message));
                 if sent == Some(false) {
                     self.peers.borrow_mut().remove(&to);
                 }
             }
-            Action::Links(to) => self.dial(&to),
-            Action::Store(token, records) => match &self.disk {
+            Output::Links(to) => self.dial(&to),
+            Output::Store(token, records) => match &self.disk {
                 Some(disk) => disk.write(token, records),
                 None => {
                     log::error!("event=no_disk remedy=give_the_role_machines_with_a_disk");
                 }
             },
-            Action::Answer(id, answer) => {
+            Output::Respond(id, answer) => {
                 // Who has gone meanwhile needs none.
-                let _ = self.orders.borrow_mut().remove(&id).map(|waits| waits.send(answer));
+                let _ = self.requests.borrow_mut().remove(&id).map(|waits| waits.send(answer));
             }
-            Action::Follower(id, message) => {
+            Output::Follower(id, message) => {
                 let sent = self.sessions.borrow().get(&id).map(|writer| writer.send(&message));
                 if sent == Some(false) {
                     self.sessions.borrow_mut().remove(&id);
                 }
             }
-            Action::Close(id) => drop(self.sessions.borrow_mut().remove(&id)),
-            Action::ReadList => drop(self.list.send(())),
-            Action::Log(event, pairs) => log::info!("event={event} {pairs}"),
+            Output::Close(id) => drop(self.sessions.borrow_mut().remove(&id)),
+            Output::ReadServerList => drop(self.list.send(())),
+            Output::Left => self.left.notify_one(),
+            Output::Log(event, pairs) => log::info!("event={event} {pairs}"),
         }
     }
 
@@ -216,7 +246,7 @@
                 tries = 0;
                 let (writer, mut queue) = Writer::new();
                 self.peers.borrow_mut().insert(node, writer);
-                self.hear(Event::Linked(node));
+                self.hear(Input::Connected(node));
                 let (mut reading, mut writing) = stream.split();
                 let mut scrap = [0; 64];
                 // The other side says nothing here; that it ends shows all the same.
@@ -242,7 +272,7 @@
             let host = self.clone();
             spawn_local(async move {
                 let node = NodeId::from(from);
-                let take = |message: Peer| host.hear(Event::Peer(node, message));
+                let take = |message: Peer| host.hear(Input::Peer(node, message));
                 if let Err(error @ link::LinkError::Frame(_)) =
                     link::read(&mut stream, PEER_SILENT, take).await
                 {
@@ -267,7 +297,7 @@
         let (writer, mut queue) = Writer::new();
         self.sessions.borrow_mut().insert(id, writer);
         let (mut reading, mut writing) = stream.split();
-        let take = |message: FromFollower| self.hear(Event::Follower(id, message));
+        let take = |message: FromFollower| self.hear(Input::Follower(id, message));
         let ended = tokio::select! {
             ended = link::read(&mut reading, FOLLOWER_SILENT, take) => ended,
             ended = queue.write_to(&mut writing) => ended.map_err(link::LinkError::from),
@@ -276,12 +306,12 @@
             log::warn!("event=refused_follower error={:?}", error.to_string());
         }
         self.sessions.borrow_mut().remove(&id);
-        self.hear(Event::Closed(id));
+        self.hear(Input::Closed(id));
     }
 
     async fn heed_disk(self: Rc<Self>, mut told: mpsc::UnboundedReceiver<Token>) {
         while let Some(token) = told.recv().await {
-            self.hear(Event::Stored(token));
+            self.hear(Input::Stored(token));
         }
     }
 
@@ -290,10 +320,10 @@
         while wanted.recv().await.is_some() {
             let read: Result<Vec<Server>, CloudError> = cloud.read().await;
             match read {
-                Ok(servers) => self.hear(Event::Listed(servers)),
+                Ok(servers) => self.hear(Input::ServerList(servers)),
                 Err(error) => {
                     log::warn!("event=list_unread error={:?}", error.to_string());
-                    self.hear(Event::ListFailed);
+                    self.hear(Input::ServerListFailed);
                 }
             }
         }
@@ -305,7 +335,7 @@
             Ok(settings) => {
                 let seeds = settings.seeds.iter().map(|seed| NodeId::from(*seed.ip())).collect();
                 log::info!("event=settings_read_anew seeds={seeds:?}");
-                self.hear(Event::Seeds(seeds));
+                self.hear(Input::Seeds(seeds));
             }
             Err(error) => log::warn!("event=old_settings_stay error={:?}", error.to_string()),
         }
@@ -318,7 +348,7 @@
                 let zone = call.query("zone").unwrap_or("");
                 let region = call.query("region").filter(|region| !region.is_empty());
                 let region = region.unwrap_or_else(|| self.settings.region_of(zone));
-                let addresses = self.node.borrow().directory(region);
+                let addresses = self.plane.borrow().directory(region);
                 if addresses.is_empty() {
                     return http::again("no router is known here yet: ask another control node");
                 }
@@ -334,8 +364,8 @@
 
     async fn control(self: Rc<Self>, call: Call) -> http::Answer {
         let segments: Vec<&str> = call.segments.iter().map(String::as_str).collect();
-        let order = match (&call.method, segments.as_slice()) {
-            (&Method::GET, ["-", "config"]) => Order::Read,
+        let request = match (&call.method, segments.as_slice()) {
+            (&Method::GET, ["-", "config"]) => AdminRequest::Read,
             (&Method::PUT | &Method::PATCH, ["-", "config"]) => {
                 let base = http::header(&call.headers, &IF_MATCH).map(|text| text.trim_matches('"').parse());
                 let Some(Ok(base)) = base else {
@@ -344,47 +374,54 @@
                 };
                 let body = call.body.to_vec();
                 if call.method == Method::PUT {
-                    Order::Put { base, body }
+                    AdminRequest::Put { base, body }
                 } else {
-                    Order::Patch { base, body }
+                    AdminRequest::Patch { base, body }
                 }
             }
             (&Method::POST | &Method::DELETE, ["-", "evacuations", zone]) => {
-                if !self.node.borrow().knows_zone(zone) {
+                if !self.plane.borrow().knows_zone(zone) {
                     return http::problem(
                         StatusCode::NOT_FOUND,
                         "no such zone: name one of the settings' zones",
                     );
                 }
-                Order::Evacuate { zone: (*zone).to_owned(), active: call.method == Method::POST }
+                AdminRequest::Evacuate {
+                    zone: (*zone).to_owned(),
+                    active: call.method == Method::POST,
+                    changes: 0,
+                }
             }
             _ => return http::problem(StatusCode::NOT_FOUND, "no such call: see docs/operators/system.md"),
         };
-        let (sender, answer) = oneshot::channel();
+        // A caller that has hung up while this process stood still is seen to have gone before its request is begun.
+        yield_now().await;
+        yield_now().await;
+        let (sender, response) = oneshot::channel();
         let id = self.number();
-        self.orders.borrow_mut().insert(id, sender);
-        self.hear(Event::Ordered(id, order));
-        let answer = timeout(Duration::from_secs(2), answer).await;
-        self.orders.borrow_mut().remove(&id);
-        worded(answer.ok().and_then(Result::ok))
+        self.requests.borrow_mut().insert(id, sender);
+        let _cancel = CancelOnDrop { host: self.clone(), request: id };
+        self.hear(Input::Admin(id, request));
+        let response = timeout(ADMIN_TIMEOUT, response).await;
+        worded(response.ok().and_then(Result::ok))
     }
 }
 
-fn worded(answer: Option<Answer>) -> http::Answer {
+fn worded(answer: Option<AdminResponse>) -> http::Answer {
     match answer {
-        Some(Answer::Taken { revision }) => {
+        Some(AdminResponse::Taken { revision }) => {
             http::json(StatusCode::OK, serde_json::json!({ "revision": revision }).to_string())
         }
-        Some(Answer::Document(text)) => http::json(StatusCode::OK, text),
-        Some(Answer::Nothing) => {
+        Some(AdminResponse::Document(text)) => http::json(StatusCode::OK, text),
+        Some(AdminResponse::Nothing) => {
             http::again("nothing has been configured yet: PUT /-/config with If-Match: 0")
         }
-        Some(Answer::Conflict { revision }) => {
+        Some(AdminResponse::Conflict { revision }) => {
             let text = format!("version {revision} is current: read it, and build on that");
             http::problem(StatusCode::PRECONDITION_FAILED, &text)
         }
-        Some(Answer::Invalid(text)) => http::problem(StatusCode::BAD_REQUEST, &text),
-        Some(Answer::Unsure(text)) => http::again(&text),
+        Some(AdminResponse::Invalid(text)) => http::problem(StatusCode::BAD_REQUEST, &text),
+        Some(AdminResponse::Unavailable(text)) => http::again(&text),
         None => http::again("the control node did not decide in time: send it again unchanged"),
     }
 }
--- a/world/src/demand.rs
+++ b/world/src/demand.rs
@@ -6,7 +6,7 @@
 
 use ivyhatch_protocol::configuration::Document;
 use ivyhatch_protocol::ids::{hash, mix};
-use ivyhatch_protocol::peer::Order;
+use ivyhatch_protocol::peer::AdminRequest;
 
 use crate::plan::Undertaking;
 
@@ -17,7 +17,7 @@
 #[derive(Clone, Debug)]
 pub struct Demand {
     /// As it is sent.
-    pub order: Order,
+    pub order: AdminRequest,
     /// What it does.
     pub kind: Kind,
 }
@@ -99,7 +99,7 @@
     pub fn demand(&mut self, what: Undertaking, step: u64) -> Demand {
         match what {
             Undertaking::Put | Undertaking::Patch | Undertaking::Invalid => self.set(what, step),
-            Undertaking::Read => Demand { order: Order::Read, kind: Kind::Read },
+            Undertaking::Read => Demand { order: AdminRequest::Read, kind: Kind::Read },
             Undertaking::Evacuate(number) => evacuate(number, true),
             Undertaking::Withdraw(number) => evacuate(number, false),
         }
@@ -123,10 +123,10 @@
                     r#"{{"revision":{revision},"upsert":{{"routes":[{}]}}}}"#,
                     route(place, revision)
                 );
-                Order::Patch { base, body: text.into_bytes() }
+                AdminRequest::Patch { base, body: text.into_bytes() }
             }
-            Undertaking::Invalid => Order::Put { base, body: body(revision, &content, "t") },
-            _ => Order::Put { base, body: whole },
+            Undertaking::Invalid => AdminRequest::Put { base, body: body(revision, &content, "t") },
+            _ => AdminRequest::Put { base, body: whole },
         };
         Demand { order, kind: Kind::Set { base, revision, digest, valid } }
     }
@@ -134,7 +134,7 @@
 
 fn evacuate(number: usize, active: bool) -> Demand {
     Demand {
-        order: Order::Evacuate { zone: zone(number), active },
+        order: AdminRequest::Evacuate { zone: zone(number), active, changes: 0 },
         kind: Kind::Evacuate { zone: number, active },
     }
 }
--- a/world/src/planted.rs
+++ b/world/src/planted.rs
@@ -21,4 +21,12 @@
     AppliesOverGap,
     /// An order is done on top of whatever is current, not of the version that it names.
     IgnoresBase,
+    /// A new voter counts before it holds the state.
+    CountsBeforeState,
+    /// A message that was sent under an older membership counts.
+    OldGenerationCounts,
+    /// The membership is changed without the agreement of a quorum, so that two changes may be made at once.
+    ChangesMembershipAlone,
+    /// A node takes it for granted that all promise its epoch, and have accepted nothing.
+    LeadsWithoutElection,
 }
--- a/world/src/run.rs
+++ b/world/src/run.rs
@@ -8,10 +8,10 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use ivyhatch_control::{OrderId, SessionId};
+use ivyhatch_control::{Input, RequestId, SessionId};
 use ivyhatch_protocol::feed::{FromFollower, ToFollower};
 use ivyhatch_protocol::ids::NodeId;
-use ivyhatch_protocol::peer::{Answer, Order, Peer};
+use ivyhatch_protocol::peer::{AdminRequest, AdminResponse, Peer};
 use ivyhatch_protocol::{MILLISECOND, Nanos, SECOND};
 
 use crate::chance::draw;
@@ -66,14 +66,18 @@
     Listed(usize, u64),
     Begins(usize),
     Goes(usize),
-    Order(OrderId, usize, Order),
-    Answer(OrderId, Answer),
-    Silence(OrderId),
+    Order(RequestId, usize, AdminRequest),
+    Answer(RequestId, AdminResponse),
+    Silence(RequestId),
     Fault(usize),
     Ends(usize),
     Start(usize),
     FollowerStart(usize),
     Thaw(usize),
+    /// A machine goes for good, in this life of its process.
+    Gone(usize, u64),
+    /// A process is told to end.
+    Leave(usize),
     Sample,
 }
 
@@ -94,6 +98,15 @@
     slowed: u32,
     core_event: Nanos,
     begun: BTreeSet<usize>,
+    /// The machine in each place.
+    slots: Vec<usize>,
+    /// The machines that were there when one came that takes another's place.
+    seeds: BTreeMap<usize, Vec<usize>>,
+    /// The ways that each fault has cut, and the machines whose disks it holds up.
+    cut_ways: BTreeMap<usize, Vec<(usize, usize)>>,
+    held_disks: BTreeMap<usize, Vec<usize>>,
+    /// Machines that have come so far.
+    next_machine: usize,
     trace: Option<Vec<String>>,
 }
 
@@ -122,22 +135,27 @@
 
 impl<'a> World<'a> {
     fn new(plan: &'a Plan, planted: Option<Planted>, traced: bool) -> Self {
-        let (members, followers) = (plan.members, plan.followers);
+        let (members, machines, followers) = (plan.members, plan.machines(), plan.followers);
         let mut world = Self {
             plan,
             planted,
             now: 0,
             queue: BTreeMap::new(),
             queued: 0,
-            machines: (0..members).map(|_| Machine::default()).collect(),
+            machines: (0..machines).map(Machine::at).collect(),
             routers: (0..followers).map(|_| Router::default()).collect(),
-            links: Links::new(members + followers),
+            links: Links::new(machines + followers),
             desk: Desk::new(plan.orders.len()),
             oracle: Oracle::default(),
             drawn: 0,
             slowed: 0,
             core_event: 0,
             begun: BTreeSet::new(),
+            slots: (0..members).collect(),
+            seeds: BTreeMap::new(),
+            cut_ways: BTreeMap::new(),
+            held_disks: BTreeMap::new(),
+            next_machine: members,
             trace: traced.then(Vec::new),
         };
         for machine in 0..members {
@@ -224,6 +242,16 @@
             Happening::Start(machine) => self.start(machine),
             Happening::FollowerStart(follower) => self.follower_start(follower),
             Happening::Thaw(machine) => self.thaw(machine),
+            Happening::Gone(machine, life) => {
+                if self.machines[machine].life == life {
+                    self.gone(machine);
+                }
+            }
+            Happening::Leave(machine) => {
+                if self.runs(machine, None, || Happening::Leave(machine)) {
+                    self.hear(machine, Input::Leave);
+                }
+            }
             Happening::Sample => {
                 self.sample();
                 self.after(SAMPLE, Happening::Sample);
@@ -235,8 +263,10 @@
     fn core_is_connected(&self) -> bool {
         let members = self.plan.members;
         let runs = |machine: &usize| self.machines[*machine].counts();
+        let slots = &self.slots;
         let whole = |set: u32| {
-            let chosen: Vec<usize> = (0..members).filter(|machine| set >> machine & 1 == 1).collect();
+            let chosen: Vec<usize> =
+                (0..members).filter(|slot| set >> slot & 1 == 1).map(|slot| slots[slot]).collect();
             chosen.len() > members / 2
                 && chosen.iter().all(runs)
                 && chosen.iter().all(|one| chosen.iter().all(|other| !self.links.is_cut(*one, *other)))
@@ -262,9 +292,14 @@
         self.oracle.sample(&views, stable);
     }
 
+    /// The machines that take part at the end.
+    fn there(&self) -> impl Iterator<Item = &Machine> {
+        self.machines[..self.next_machine].iter().filter(|machine| machine.takes_part())
+    }
+
     fn end(&mut self) {
-        let places: BTreeSet<Vec<u64>> = self.machines.iter().map(Machine::places).collect();
-        let machines = self.machines.iter().map(Machine::summary);
+        let places: BTreeSet<Vec<u64>> = self.there().map(Machine::places).collect();
+        let machines = self.there().map(Machine::summary);
         let in_force: BTreeSet<Vec<u64>> = machines.chain(self.routers.iter().map(Router::summary)).collect();
         let reader = self.machines.iter().any(Machine::reads_list);
         self.oracle.end(&places, &in_force, reader);
