The reader of the platform's list as a state machine of its own

Cause: who reads the list, when, and which answers count was a few fields of the control node, changed in three places: an answer of a call under an earlier epoch was taken for the new one's and ended its wait, a call that got lost held the duty for good, and nothing noticed that a list of a higher epoch is told by others while this replica still takes itself for the owner. Change: control/src/server_list.rs, sans-I/O, not yet called by the node. Calls are numbered; a call is given up after a stated time; a new epoch asks at once; a deposed reader renews its epoch; a reader that fails leaves the duty after two calls, longer each time. 17 tests in virtual time (control/tests/server_list.rs).

--- a/control/src/lib.rs
+++ b/control/src/lib.rs
@@ -4,14 +4,15 @@
 //! answers come out; the time is the steady clock's, told by whoever embeds it.
 //!
 //! Reading order: [`register`] decides on one part among a group, [`group`] tells who that is and how one that has forgotten its
-//! past comes back, [`state`] says what an order does to a part, [`routers`] keeps the sessions,
-//! [`feed`] what those who follow are told, and [`node`] holds all of it together.
+//! past comes back, [`state`] says what an order does to a part, [`server_list`] when to read the platform's list, [`routers`]
+//! keeps the sessions, [`feed`] what those who follow are told, and [`node`] holds all of it together.
 
 pub mod feed;
 pub mod group;
 pub mod node;
 pub mod register;
 pub mod routers;
+pub mod server_list;
 pub mod state;
 pub mod stored;
 
--- /dev/null
+++ b/control/tests/server_list.rs
@@ -0,0 +1,251 @@
+//! The reader of the platform's list by itself, in virtual time: from which moment on, under which epoch and for how long it asks,
+//! and which answers count.
+
+use googletest::prelude::*;
+use ivyhatch_control::server_list::{
+    ANSWER_LIMIT, Duty, FIRST_LIST_EVERY, Input, LONGEST_LEAVE, ListReader, MOST_FAILURES, Output,
+    RENEW_AFTER, RETRY, ReadId, SHORTEST_LEAVE,
+};
+use ivyhatch_protocol::ids::{Epoch, NodeId};
+use ivyhatch_protocol::{MILLISECOND, Nanos, SECOND};
+
+const EVERY: Nanos = 500 * MILLISECOND;
+
+fn epoch(counter: u64) -> Epoch {
+    Epoch { counter, node: NodeId(1), life: 7 }
+}
+
+/// The duty is this replica's, under the newest epoch.
+fn owner(counter: u64) -> Duty {
+    Duty { owned: Some(epoch(counter)), newest: epoch(counter), newest_in_touch: true, has_list: true }
+}
+
+/// The duty is another replica's.
+fn follower() -> Duty {
+    Duty { owned: None, newest: epoch(9), newest_in_touch: true, has_list: true }
+}
+
+/// This replica takes itself for the owner, and another one has read under a higher epoch.
+fn deposed(newest_in_touch: bool) -> Duty {
+    Duty { newest: epoch(9), newest_in_touch, ..owner(3) }
+}
+
+fn reader() -> ListReader {
+    ListReader::new(EVERY)
+}
+
+fn hear(reader: &mut ListReader, now: Nanos, input: Input) -> Vec<Output> {
+    let mut out = Vec::new();
+    reader.handle(now, input, &mut out);
+    out
+}
+
+fn check(reader: &mut ListReader, now: Nanos, duty: Duty) -> Vec<Output> {
+    hear(reader, now, Input::Checked(duty))
+}
+
+/// Has the reader ask, and returns the number of the call.
+fn asks(reader: &mut ListReader, now: Nanos, duty: Duty) -> ReadId {
+    let out = check(reader, now, duty);
+    let [Output::Read(read)] = out[..] else { panic!("it asks nothing: {out:?}") };
+    read
+}
+
+/// A call is made and fails.
+fn fails(reader: &mut ListReader, now: Nanos, duty: Duty) -> Vec<Output> {
+    let read = asks(reader, now, duty);
+    hear(reader, now, Input::Failed(read))
+}
+
+#[gtest]
+fn who_takes_the_duty_over_asks_at_once() {
+    let mut reader = reader();
+    expect_that!(check(&mut reader, SECOND, follower()), is_empty());
+    expect_that!(check(&mut reader, SECOND + 1, owner(3)), elements_are![eq(&Output::Read(ReadId(1)))]);
+}
+
+#[gtest]
+fn the_owner_asks_once_in_every_interval() {
+    let mut reader = reader();
+    let read = asks(&mut reader, SECOND, owner(3));
+    let out = hear(&mut reader, SECOND + 5, Input::Answered(read, owner(3)));
+    expect_that!(out, elements_are![eq(&Output::Publish(epoch(3)))]);
+    expect_that!(check(&mut reader, SECOND + EVERY - 1, owner(3)), is_empty());
+    expect_that!(check(&mut reader, SECOND + EVERY, owner(3)), elements_are![eq(&Output::Read(ReadId(2)))]);
+}
+
+#[gtest]
+fn no_second_call_is_made_while_one_is_under_way() {
+    let mut reader = reader();
+    asks(&mut reader, SECOND, owner(3));
+    expect_that!(check(&mut reader, SECOND + EVERY + 1, owner(3)), is_empty());
+}
+
+#[gtest]
+fn a_new_epoch_asks_at_once_though_a_call_is_under_way() {
+    let mut reader = reader();
+    let old = asks(&mut reader, SECOND, owner(3));
+    expect_that!(check(&mut reader, SECOND + 1, owner(4)), elements_are![eq(&Output::Read(ReadId(2)))]);
+    // The answer of the earlier call is no list of this epoch, and does not end the call of this epoch either.
+    expect_that!(hear(&mut reader, SECOND + 2, Input::Answered(old, owner(4))), is_empty());
+    expect_that!(hear(&mut reader, SECOND + 2, Input::Failed(old)), is_empty());
+    let out = hear(&mut reader, SECOND + 3, Input::Answered(ReadId(2), owner(4)));
+    expect_that!(out, elements_are![eq(&Output::Publish(epoch(4)))]);
+}
+
+#[gtest]
+fn an_answer_that_comes_when_the_duty_is_gone_is_dropped() {
+    for duty in [follower(), owner(4), deposed(true)] {
+        let mut reader = reader();
+        let read = asks(&mut reader, SECOND, owner(3));
+        expect_that!(hear(&mut reader, SECOND + 1, Input::Answered(read, duty)), is_empty(), "{duty:?}");
+    }
+}
+
+#[gtest]
+fn the_same_answer_counts_once() {
+    let mut reader = reader();
+    let read = asks(&mut reader, SECOND, owner(3));
+    hear(&mut reader, SECOND + 1, Input::Answered(read, owner(3)));
+    expect_that!(hear(&mut reader, SECOND + 2, Input::Answered(read, owner(3))), is_empty());
+}
+
+#[gtest]
+fn a_call_that_is_lost_is_made_again() {
+    let mut reader = reader();
+    asks(&mut reader, SECOND, owner(3));
+    let lost = SECOND + ANSWER_LIMIT;
+    expect_that!(check(&mut reader, lost - 1, owner(3)), is_empty());
+    expect_that!(
+        check(&mut reader, lost, owner(3)),
+        elements_are![eq(&Output::Failing(1)), eq(&Output::Read(ReadId(2)))]
+    );
+}
+
+#[gtest]
+fn a_list_from_before_the_process_stood_still_is_asked_for_anew() {
+    let mut reader = reader();
+    let read = asks(&mut reader, SECOND, owner(3));
+    let out = hear(&mut reader, 6 * SECOND, Input::Answered(read, owner(3)));
+    expect_that!(out, elements_are![eq(&Output::Read(ReadId(2)))]);
+}
+
+#[gtest]
+fn a_deposed_reader_renews_its_epoch_at_once_where_it_sees_its_successor() {
+    let mut reader = reader();
+    asks(&mut reader, SECOND, owner(3));
+    let out = check(&mut reader, SECOND + 1, deposed(true));
+    expect_that!(out, elements_are![eq(&Output::Renew(epoch(9)))]);
+    expect_that!(check(&mut reader, SECOND + 2, owner(10)), elements_are![eq(&Output::Read(ReadId(2)))]);
+}
+
+#[gtest]
+fn a_deposed_reader_renews_its_epoch_in_time_where_it_does_not() {
+    let mut reader = reader();
+    asks(&mut reader, SECOND, owner(3));
+    expect_that!(check(&mut reader, 2 * SECOND, deposed(false)), is_empty());
+    expect_that!(check(&mut reader, 2 * SECOND + RENEW_AFTER - 1, deposed(false)), is_empty());
+    let out = check(&mut reader, 2 * SECOND + RENEW_AFTER, deposed(false));
+    expect_that!(out, elements_are![eq(&Output::Renew(epoch(9)))]);
+}
+
+#[gtest]
+fn one_that_stands_back_in_between_waits_anew() {
+    let mut reader = reader();
+    expect_that!(check(&mut reader, 2 * SECOND, deposed(false)), is_empty());
+    expect_that!(check(&mut reader, 3 * SECOND, follower()), is_empty());
+    expect_that!(check(&mut reader, 2 * SECOND + RENEW_AFTER, deposed(false)), is_empty());
+}
+
+#[gtest]
+fn a_failure_is_tried_again_soon() {
+    let mut reader = reader();
+    expect_that!(fails(&mut reader, SECOND, owner(3)), elements_are![eq(&Output::Failing(1))]);
+    expect_that!(check(&mut reader, SECOND + RETRY - 1, owner(3)), is_empty());
+    asks(&mut reader, SECOND + RETRY, owner(3));
+}
+
+#[gtest]
+fn after_some_failures_in_a_row_another_replica_reads() {
+    let mut reader = reader();
+    let mut now = SECOND;
+    for failures in 1..MOST_FAILURES {
+        expect_that!(fails(&mut reader, now, owner(3)), elements_are![eq(&Output::Failing(failures))]);
+        expect_true!(reader.can_read(now));
+        now += RETRY;
+    }
+    expect_that!(
+        fails(&mut reader, now, owner(3)),
+        elements_are![eq(&Output::Failing(MOST_FAILURES)), eq(&Output::Leave)]
+    );
+    expect_false!(reader.can_read(now + SHORTEST_LEAVE - 1));
+    expect_true!(reader.can_read(now + SHORTEST_LEAVE));
+}
+
+#[gtest]
+fn the_duty_is_left_for_longer_each_time_until_a_call_succeeds() {
+    let mut reader = reader();
+    let mut now = SECOND;
+    let mut leave_for = SHORTEST_LEAVE;
+    for counter in 0..6 {
+        for _ in 0..MOST_FAILURES {
+            fails(&mut reader, now, owner(counter));
+            now += RETRY;
+        }
+        let left = now - RETRY;
+        expect_false!(reader.can_read(left + leave_for - 1), "{counter}");
+        expect_true!(reader.can_read(left + leave_for), "{counter}");
+        now = left + leave_for;
+        leave_for = (2 * leave_for).min(LONGEST_LEAVE);
+    }
+    let read = asks(&mut reader, now, owner(7));
+    hear(&mut reader, now, Input::Answered(read, owner(7)));
+    now += EVERY;
+    for _ in 0..MOST_FAILURES {
+        fails(&mut reader, now, owner(7));
+        now += RETRY;
+    }
+    expect_true!(reader.can_read(now - RETRY + SHORTEST_LEAVE));
+}
+
+#[gtest]
+fn one_that_reads_as_nobody_else_can_takes_the_duty_back_with_its_first_answer() {
+    let mut reader = reader();
+    let mut now = SECOND;
+    for _ in 0..MOST_FAILURES {
+        fails(&mut reader, now, owner(3));
+        now += RETRY;
+    }
+    expect_false!(reader.can_read(now));
+    let read = asks(&mut reader, now, owner(3));
+    hear(&mut reader, now, Input::Answered(read, owner(3)));
+    expect_true!(reader.can_read(now));
+}
+
+#[gtest]
+fn a_replica_without_a_list_reads_one_by_itself_and_never_leaves() {
+    let alone = Duty::default();
+    let mut reader = reader();
+    let first = asks(&mut reader, SECOND, alone);
+    let out = hear(&mut reader, SECOND, Input::Failed(first));
+    expect_that!(out, elements_are![eq(&Output::Failing(1))]);
+    let second = asks(&mut reader, SECOND + RETRY, alone);
+    let out = hear(&mut reader, SECOND + RETRY, Input::Failed(second));
+    expect_that!(out, elements_are![eq(&Output::Failing(2))]);
+    expect_true!(reader.can_read(SECOND + RETRY));
+    let third = asks(&mut reader, SECOND + 2 * RETRY, alone);
+    let out = hear(&mut reader, SECOND + 2 * RETRY, Input::Answered(third, alone));
+    expect_that!(out, elements_are![eq(&Output::Publish(Epoch::default()))]);
+    // An empty list was no list: it asks again, without haste.
+    expect_that!(check(&mut reader, SECOND + 3 * RETRY, alone), is_empty());
+    asks(&mut reader, SECOND + 2 * RETRY + FIRST_LIST_EVERY, alone);
+}
+
+#[gtest]
+fn the_first_owner_does_not_wait_for_its_own_first_list() {
+    let mut reader = reader();
+    let first = asks(&mut reader, SECOND, Duty::default());
+    let mine = Duty { has_list: false, ..owner(1) };
+    expect_that!(check(&mut reader, SECOND + 1, mine), elements_are![eq(&Output::Read(ReadId(2)))]);
+    expect_that!(hear(&mut reader, SECOND + 2, Input::Answered(first, mine)), is_empty());
+}
