A reader of the list that was deposed unawares begins a new epoch

Cause: an owner learns that another has led only when it asks the members something, and reading the list asks them nothing. Where a member led behind a link that was down (a control node was killed and back before it counted as lost; the link of one to it came up later than the others), the first owner went on under its old epoch: its own list had been replaced by one of a higher epoch, and List::read dropped whatever the platform told it, without end, while everybody took it for the reader. Ruled out: a lost reset of 'reading' (each epoch began with a new one), waiting for list_every after taking over (no), gaps of List::follow (asked for anew with each beat). Change: node.rs drives the reader's own state machine; Register::outdated is what a refusal does, and is used for it as well. Readings are numbered up to the host, which gives up the one under way when another is wanted: a late page is never taken for a page of the next reading, and the first reading of a new epoch does not wait behind one that hangs. Known red stays red: in_a_group_of_five_nothing_of_a_former_life_counts.

--- a/control/src/node.rs
+++ b/control/src/node.rs
@@ -14,6 +14,7 @@
 use crate::group::{self, Recollection};
 use crate::register::{Effect, Register};
 use crate::routers::Routers;
+use crate::server_list::{Duty, Input, ListReader, Output, ReadId};
 use crate::state::{self, State, Verdict};
 use crate::stored::Stored;
 
@@ -36,9 +37,6 @@
 const GATHER: Nanos = 1500 * MILLISECOND;
 /// Control nodes that are neither members nor seeds are forgotten when they have been silent for so long.
 const FORGET: Nanos = 60 * SECOND;
-/// After so many failures in a row another node reads the platform's list, for so long.
-const LIST_FAILURES: u32 = 3;
-const LIST_LEFT: Nanos = 5 * SECOND;
 /// A follower that was silent for so long has its session closed.
 const SESSION_ENDS: Nanos = 4 * SECOND;
 /// So long after it has come into touch with its group a control node has heard of all routers.
@@ -94,9 +92,9 @@
     /// A session has ended.
     Closed(SessionId),
     /// The platform has told the whole list.
-    Listed(Vec<Server>),
+    Listed(ReadId, Vec<Server>),
     /// The platform could not be asked.
-    ListFailed,
+    ListFailed(ReadId),
     /// The settings name these seeds now.
     Seeds(Vec<NodeId>),
 }
@@ -116,8 +114,8 @@
     Follower(SessionId, ToFollower),
     /// Close a session.
     Close(SessionId),
-    /// Ask the platform for the whole list.
-    ReadList,
+    /// Ask the platform for the whole list. Whatever reading is still under way is given up.
+    ReadList(ReadId),
     /// A line for the log: the event's name, and its key=value pairs.
     Log(&'static str, String),
 }
@@ -189,16 +187,6 @@
     heard: Nanos,
 }
 
-/// Reading the platform's list.
-#[derive(Debug, Default)]
-struct Reader {
-    epoch: Epoch,
-    reading: bool,
-    next: Nanos,
-    failures: u32,
-    left_until: Nanos,
-}
-
 /// A control node.
 pub struct Node {
     identity: Identity,
@@ -221,7 +209,7 @@
     servers_asked: Nanos,
     feed: Feed,
     list: List,
-    reader: Reader,
+    reader: ListReader,
     routers: Routers,
     sessions: BTreeMap<SessionId, Session>,
     pending: BTreeMap<OrderId, Pending>,
@@ -271,7 +259,7 @@
             servers_asked: 0,
             feed: Feed::default(),
             list: List::default(),
-            reader: Reader::default(),
+            reader: ListReader::new(identity.list_every),
             routers: Routers::default(),
             sessions: BTreeMap::new(),
             pending: BTreeMap::new(),
@@ -319,8 +307,11 @@
             Event::Ordered(id, order) => self.ordered(id, order, out),
             Event::Follower(session, message) => self.follower(session, message, out),
             Event::Closed(session) => self.closed(session),
-            Event::Listed(servers) => self.listed(servers, out),
-            Event::ListFailed => self.list_failed(out),
+            Event::Listed(read, servers) => {
+                let duty = self.list_duty();
+                self.drive_reader(Input::Answered(read, duty), Some(servers), out);
+            }
+            Event::ListFailed(read) => self.drive_reader(Input::Failed(read), None, out),
             Event::Seeds(seeds) => self.identity.seeds = seeds,
         }
         while let Some((from, message)) = self.inbox.pop_front() {
@@ -429,7 +420,7 @@
     }
 
     fn reads_list(&self) -> bool {
-        self.now >= self.reader.left_until
+        self.reader.can_read(self.now)
     }
 
     fn tick(&mut self, out: &mut Vec<Action>) {
@@ -455,7 +446,8 @@
         }
         self.expire(out);
         self.route_all(out);
-        self.read_list(out);
+        let duty = self.list_duty();
+        self.drive_reader(Input::Checked(duty), None, out);
         self.routers.note(self.now);
         let changed = self.routers.drop_silent(self.now);
         self.end_silent_sessions(out);
@@ -950,65 +942,64 @@
         }
     }
 
-    fn read_list(&mut self, out: &mut Vec<Action>) {
-        // Right after its start a node reads the list once by itself, for those who follow it: until the group has come together
-        // nobody has the duty. Its epoch is the lowest of all, so that the first reader's list takes its place.
-        let none =
-            self.list.position() == List::default().position() && self.reader.epoch == Epoch::default();
-        if none && !self.reader.reading && self.now >= self.reader.next {
-            self.reader.reading = true;
-            self.reader.next = self.now + SECOND;
-            out.push(Action::ReadList);
-        }
-        let owned = self.owns(Part::of(LIST_DUTY)).filter(|_| self.in_touch());
-        let Some(epoch) = owned else { return };
-        if epoch != self.reader.epoch {
-            let left_until = self.reader.left_until;
-            self.reader = Reader { epoch, left_until, ..Reader::default() };
-        }
-        if !self.reader.reading && self.now >= self.reader.next {
-            self.reader.reading = true;
-            self.reader.next = self.now + self.identity.list_every;
-            out.push(Action::ReadList);
+    /// What this node knows of the duty to read the platform's list.
+    fn list_duty(&self) -> Duty {
+        let told = self.others.values().filter_map(|other| other.beat.as_ref()).map(|beat| beat.servers.0);
+        let (known, number) = self.list.position();
+        let newest = told.chain([known]).max().unwrap_or_default();
+        Duty {
+            owned: self.owns(Part::of(LIST_DUTY)).filter(|_| self.in_touch()),
+            newest,
+            newest_in_touch: newest.node == self.identity.me || self.two_way(newest.node),
+            has_list: number > 0,
         }
     }
 
-    fn listed(&mut self, servers: Vec<Server>, out: &mut Vec<Action>) {
-        self.reader.reading = false;
-        self.reader.failures = 0;
-        let epoch = self.reader.epoch;
-        let first = epoch == Epoch::default() && self.list.position() == List::default().position();
-        if first && !servers.is_empty() {
-            self.list.read(self.now, epoch, servers);
-            self.log_list("first", out);
-            return;
-        }
-        if self.owns(Part::of(LIST_DUTY)) != Some(epoch) {
-            return;
-        }
-        if let Some(news) = self.list.read(self.now, epoch, servers) {
-            self.log_list("read", out);
-            for server in news.upsert.iter().filter(|_| news.from.is_some()) {
-                let Server { id, zone, draining, cold_left_ms, .. } = server;
-                let left =
-                    server.remaining_ms.map_or_else(String::new, |left| format!(" remaining_ms={left}"));
-                let pairs =
-                    format!("id={id} zone={zone} draining={draining} cold_left_ms={cold_left_ms}{left}");
-                out.push(Action::Log("server", pairs));
+    fn drive_reader(&mut self, input: Input, mut servers: Option<Vec<Server>>, out: &mut Vec<Action>) {
+        let mut outputs = Vec::new();
+        self.reader.handle(self.now, input, &mut outputs);
+        for output in outputs {
+            match output {
+                Output::Read(read) => out.push(Action::ReadList(read)),
+                Output::Publish(epoch) => self.listed(epoch, servers.take().unwrap_or_default(), out),
+                Output::Renew(newest) => self.renew_list_duty(newest, out),
+                Output::Failing(failures) => {
+                    out.push(Action::Log("list_failed", format!("in_a_row={failures}")));
+                }
+                // The others are told at once, so that one of them begins.
+                Output::Leave => self.beat(out),
             }
-            self.tell_all(&Peer::Servers(news), out);
         }
     }
 
-    fn list_failed(&mut self, out: &mut Vec<Action>) {
-        self.reader.reading = false;
-        self.reader.failures += 1;
-        self.reader.next = self.reader.next.min(self.now + ASK_AGAIN);
-        out.push(Action::Log("list_failed", format!("in_a_row={}", self.reader.failures)));
-        if self.reader.failures >= LIST_FAILURES {
-            self.reader.failures = 0;
-            self.reader.left_until = self.now + LIST_LEFT;
+    /// Another node has led the duty's part since: whatever this one has before it is told to begin anew, at the next tick.
+    fn renew_list_duty(&mut self, newest: Epoch, out: &mut Vec<Action>) {
+        let part = Part::of(LIST_DUTY);
+        let Some(register) = self.registers.get_mut(&part) else { return };
+        let mut effects = Vec::new();
+        register.outdated(newest, &mut effects);
+        self.carry_out(part, effects, out);
+    }
+
+    /// The platform has told its list to this node, the reader under this epoch.
+    fn listed(&mut self, epoch: Epoch, servers: Vec<Server>, out: &mut Vec<Action>) {
+        if epoch == Epoch::default() {
+            // For those who follow this node: until the group has come together nobody has the duty.
+            if !servers.is_empty() {
+                self.list.read(self.now, epoch, servers);
+                self.log_list("first", out);
+            }
+            return;
+        }
+        let Some(news) = self.list.read(self.now, epoch, servers) else { return };
+        self.log_list("read", out);
+        for server in news.upsert.iter().filter(|_| news.from.is_some()) {
+            let Server { id, zone, draining, cold_left_ms, .. } = server;
+            let left = server.remaining_ms.map_or_else(String::new, |left| format!(" remaining_ms={left}"));
+            let pairs = format!("id={id} zone={zone} draining={draining} cold_left_ms={cold_left_ms}{left}");
+            out.push(Action::Log("server", pairs));
         }
+        self.tell_all(&Peer::Servers(news), out);
     }
 
     fn follower(&mut self, id: SessionId, message: FromFollower, out: &mut Vec<Action>) {
--- a/control/src/register.rs
+++ b/control/src/register.rs
@@ -247,16 +247,7 @@
             Deciding::Promise { epoch, accepted } => self.promised(now, from, epoch, accepted, out),
             Deciding::Done { epoch, sequence } => self.done(from, epoch, sequence, out),
             Deciding::Stands { epoch, number } => self.stands(from, epoch, number, out),
-            Deciding::Refuse { promised } => {
-                self.counter = self.counter.max(promised.counter);
-                let own = match &self.ownership {
-                    Ownership::None => return,
-                    Ownership::Preparing { epoch, .. } | Ownership::Leading { epoch, .. } => *epoch,
-                };
-                if promised > own {
-                    self.stand_back(out);
-                }
-            }
+            Deciding::Refuse { promised } => self.outdated(promised, out),
             Deciding::Commit { epoch, sequence } => {
                 let same = |kept: &&Accepted| kept.epoch == epoch && kept.sequence == sequence;
                 match self.kept.accepted.as_ref().filter(same).cloned() {
@@ -276,19 +267,24 @@
         }
     }
 
-    /// Promises an epoch. An own one below it has ended.
-    fn promise(&mut self, epoch: Epoch, out: &mut Vec<Effect>) {
-        self.counter = self.counter.max(epoch.counter);
-        self.kept.promised = self.kept.promised.max(epoch);
+    /// Somebody has seen this epoch. An own one below it has ended.
+    pub fn outdated(&mut self, seen: Epoch, out: &mut Vec<Effect>) {
+        self.counter = self.counter.max(seen.counter);
         let own = match &self.ownership {
             Ownership::None => return,
             Ownership::Preparing { epoch, .. } | Ownership::Leading { epoch, .. } => *epoch,
         };
-        if epoch > own {
+        if seen > own {
             self.stand_back(out);
         }
     }
 
+    /// Promises an epoch. An own one below it has ended.
+    fn promise(&mut self, epoch: Epoch, out: &mut Vec<Effect>) {
+        self.kept.promised = self.kept.promised.max(epoch);
+        self.outdated(epoch, out);
+    }
+
     fn promised(
         &mut self,
         now: Nanos,
@@ -347,14 +343,7 @@
     /// Notes what is decided; an older decision changes nothing. One under a higher epoch than this owner's tells that most have
     /// promised that epoch: what is open here may have been decided by another owner, and would never be answered.
     fn decide(&mut self, accepted: Accepted, out: &mut Vec<Effect>) {
-        self.counter = self.counter.max(accepted.epoch.counter);
-        let own = match &self.ownership {
-            Ownership::None => accepted.epoch,
-            Ownership::Preparing { epoch, .. } | Ownership::Leading { epoch, .. } => *epoch,
-        };
-        if accepted.epoch > own {
-            self.stand_back(out);
-        }
+        self.outdated(accepted.epoch, out);
         let newer =
             |decided: &Accepted| (accepted.sequence, accepted.epoch) > (decided.sequence, decided.epoch);
         if self.decided.as_ref().is_none_or(newer) {
--- a/system/src/control.rs
+++ b/system/src/control.rs
@@ -8,6 +8,7 @@
 
 use hyper::header::IF_MATCH;
 use hyper::{Method, StatusCode};
+use ivyhatch_control::server_list::ReadId;
 use ivyhatch_control::stored::Stored;
 use ivyhatch_control::{Action, Event, Identity, Node, OrderId, SessionId, Token};
 use ivyhatch_protocol::MILLISECOND;
@@ -52,7 +53,7 @@
     orders: RefCell<BTreeMap<OrderId, oneshot::Sender<Answer>>>,
     next: RefCell<u64>,
     disk: Option<Disk>,
-    list: mpsc::UnboundedSender<()>,
+    list: mpsc::UnboundedSender<ReadId>,
     settings: Settings,
 }
 
@@ -182,7 +183,7 @@
                 }
             }
             Action::Close(id) => drop(self.sessions.borrow_mut().remove(&id)),
-            Action::ReadList => drop(self.list.send(())),
+            Action::ReadList(read) => drop(self.list.send(read)),
             Action::Log(event, pairs) => log::info!("event={event} {pairs}"),
         }
     }
@@ -285,20 +286,33 @@
         }
     }
 
-    async fn read_lists(self: Rc<Self>, mut wanted: mpsc::UnboundedReceiver<()>) {
+    /// Reads the platform's list whenever it is wanted. One that is wanted anew is read from its first page, on a connection of its
+    /// own: nothing of an earlier reading is taken for a part of it.
+    async fn read_lists(self: Rc<Self>, mut wanted: mpsc::UnboundedReceiver<ReadId>) {
         let mut cloud = Cloud::new(self.settings.ip, self.settings.cloud_api.address);
-        while wanted.recv().await.is_some() {
-            let read: Result<Vec<Server>, CloudError> = cloud.read().await;
-            match read {
-                Ok(servers) => self.hear(Event::Listed(servers)),
-                Err(error) => {
-                    log::warn!("event=list_unread error={:?}", error.to_string());
-                    self.hear(Event::ListFailed);
+        let mut next = wanted.recv().await;
+        while let Some(read) = next {
+            tokio::select! {
+                biased;
+                newer = wanted.recv() => next = newer,
+                told = cloud.read() => {
+                    self.told_list(read, told);
+                    next = wanted.recv().await;
                 }
             }
         }
     }
 
+    fn told_list(self: &Rc<Self>, read: ReadId, told: Result<Vec<Server>, CloudError>) {
+        match told {
+            Ok(servers) => self.hear(Event::Listed(read, servers)),
+            Err(error) => {
+                log::warn!("event=list_unread error={:?}", error.to_string());
+                self.hear(Event::ListFailed(read));
+            }
+        }
+    }
+
     /// Takes the seeds of a settings file that has changed.
     fn reread(self: &Rc<Self>) {
         match Settings::from_environment() {
--- a/world/src/run.rs
+++ b/world/src/run.rs
@@ -8,6 +8,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
+use ivyhatch_control::server_list::ReadId;
 use ivyhatch_control::{OrderId, SessionId};
 use ivyhatch_protocol::feed::{FromFollower, ToFollower};
 use ivyhatch_protocol::ids::NodeId;
@@ -63,7 +64,7 @@
     SessionLost(usize, usize, SessionId),
     SessionClosed(usize, u64, SessionId),
     Synced(usize, u64),
-    Listed(usize, u64),
+    Listed(usize, u64, ReadId),
     Begins(usize),
     Goes(usize),
     Order(OrderId, usize, Order),
@@ -213,7 +214,7 @@
             Happening::SessionLost(follower, machine, id) => self.session_lost(follower, machine, id),
             Happening::SessionClosed(machine, life, id) => self.session_closed(machine, life, id),
             Happening::Synced(machine, life) => self.synced(machine, life),
-            Happening::Listed(machine, life) => self.listed(machine, life),
+            Happening::Listed(machine, life, read) => self.listed(machine, life, read),
             Happening::Begins(number) => self.begins(number),
             Happening::Goes(operator) => self.goes_on(operator),
             Happening::Order(id, machine, order) => self.order_arrives(id, machine, order),
--- a/world/src/run/machines.rs
+++ b/world/src/run/machines.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeSet;
 
+use ivyhatch_control::server_list::ReadId;
 use ivyhatch_control::state::State;
 use ivyhatch_control::{Action, Event, Identity, Node};
 use ivyhatch_protocol::feed::Server;
@@ -311,13 +312,16 @@
         (step..step + 4).map(server).collect()
     }
 
-    pub(super) fn listed(&mut self, machine: usize, life: u64) {
-        if !self.runs(machine, Some(life), || Happening::Listed(machine, life)) {
+    pub(super) fn listed(&mut self, machine: usize, life: u64, read: ReadId) {
+        if !self.runs(machine, Some(life), || Happening::Listed(machine, life, read)) {
             return;
         }
         let troubled = self.now / MILLISECOND < self.plan.faults_end_ms;
-        let event =
-            if troubled && self.below(20) == 0 { Event::ListFailed } else { Event::Listed(self.servers()) };
+        let event = if troubled && self.below(20) == 0 {
+            Event::ListFailed(read)
+        } else {
+            Event::Listed(read, self.servers())
+        };
         self.hear(machine, event);
     }
 
@@ -363,10 +367,10 @@
             }
             Action::Follower(id, message) => self.tell_follower(machine, id, message),
             Action::Close(id) => self.close(machine, id),
-            Action::ReadList => {
+            Action::ReadList(read) => {
                 let life = self.machines[machine].life;
                 let after = (3 + self.below(30)) * MILLISECOND;
-                self.after(after, Happening::Listed(machine, life));
+                self.after(after, Happening::Listed(machine, life, read));
             }
             Action::Log(event, pairs) => self.note(|| format!("node {machine} event={event} {pairs}")),
         }
