The platform's list: one reading ends within a second, and re-makes its connection

Cause: 0.9 s were allowed for each page, so that a reading of n pages had no bound of its own; and a kept connection behind a cut cost the whole reading (0.9 s and a failure) before a new one was made. Change: the whole reading has 1.0 s. A kept connection that brings no page within 0.4 s is given up for a new one in the same reading, one that was closed at once. Whatever reading fails, is late or is dropped takes its connection with it.

--- a/system/src/cloud.rs
+++ b/system/src/cloud.rs
@@ -1,4 +1,8 @@
 //! Reads the platform's list of servers, page by page.
+//!
+//! A reading ends within [`WHOLE_LIST`], whatever the platform or the network does. It keeps its connection for the next one, but
+//! waits on a kept connection only for [`KEPT_CONNECTION`]: behind a cut it never answers. A reading that is dropped, fails or ends
+//! late takes its connection with it, so that no answer of it can be taken for one of the next.
 
 use std::net::SocketAddrV4;
 use std::time::Duration;
@@ -14,8 +18,12 @@
 use tokio::task::spawn_local;
 use tokio::time::timeout;
 
-/// A call is answered within this, or given up.
-const CALL: Duration = Duration::from_millis(900);
+/// The whole list is read within this, or the reading is given up.
+pub const WHOLE_LIST: Duration = Duration::from_millis(1000);
+/// A page is asked for again on a new connection when a kept one has not brought it within this.
+pub const KEPT_CONNECTION: Duration = Duration::from_millis(400);
+/// Connects that are tried for a page; the first is short (see [`crate::link::connect`]).
+const CONNECT_TRIES: u32 = 2;
 const LONGEST_PAGE: usize = 4 << 20;
 /// A list of more pages than this does not end.
 const MOST_PAGES: usize = 1000;
@@ -93,8 +101,12 @@
     /// The whole list.
     ///
     /// # Errors
-    /// Where it does not come whole.
+    /// Where it does not come whole, in time.
     pub async fn read(&mut self) -> Result<Vec<Server>, CloudError> {
+        timeout(WHOLE_LIST, self.pages()).await.map_err(|_| CloudError::Late)?
+    }
+
+    async fn pages(&mut self) -> Result<Vec<Server>, CloudError> {
         let (mut servers, mut token) = (Vec::new(), None);
         for _ in 0..MOST_PAGES {
             let page = self.page(token.as_deref()).await?;
@@ -107,40 +119,46 @@
         Err(CloudError::Unreadable("it has no last page".to_owned()))
     }
 
+    /// One page. The connection is kept only once the page has come whole: a call that is given up in between closes it.
     async fn page(&mut self, token: Option<&str>) -> Result<Page, CloudError> {
-        let kept = self.sender.take().filter(|sender| !sender.is_closed());
-        let call = async {
-            let mut sender = match kept {
-                Some(sender) => sender,
-                None => self.connect().await?,
-            };
-            let unreached = |error: hyper::Error| CloudError::Unreached(error.to_string());
-            sender.ready().await.map_err(unreached)?;
-            let path = match token {
-                Some(token) => format!("/instances?page_token={token}"),
-                None => "/instances".to_owned(),
-            };
-            let request = Request::get(path).header(HOST, self.address.to_string()).body(Empty::new());
-            let request = request.map_err(|error| CloudError::Unreadable(error.to_string()))?;
-            let response = sender.send_request(request).await.map_err(unreached)?;
-            let status = response.status();
-            let body = Limited::new(response.into_body(), LONGEST_PAGE).collect().await;
-            let body = body.map_err(|error| CloudError::Unreadable(error.to_string()))?.to_bytes();
-            if status != StatusCode::OK {
-                return Err(CloudError::Refused(status));
-            }
-            let page =
-                serde_json::from_slice(&body).map_err(|error| CloudError::Unreadable(error.to_string()))?;
-            Ok((sender, page))
-        };
-        let (sender, page) = timeout(CALL, call).await.map_err(|_| CloudError::Late)??;
+        if let Some(mut kept) = self.sender.take().filter(|sender| !sender.is_closed())
+            && let Ok(Ok(page)) = timeout(KEPT_CONNECTION, self.ask(&mut kept, token)).await
+        {
+            self.sender = Some(kept);
+            return page_of(page);
+        }
+        let mut sender = self.connect().await?;
+        let page = self.ask(&mut sender, token).await?;
         self.sender = Some(sender);
-        Ok(page)
+        page_of(page)
+    }
+
+    /// Asks for one page on this connection.
+    async fn ask(&self, sender: &mut Sender, token: Option<&str>) -> Result<(StatusCode, Bytes), CloudError> {
+        let unreached = |error: hyper::Error| CloudError::Unreached(error.to_string());
+        sender.ready().await.map_err(unreached)?;
+        let path = match token {
+            Some(token) => format!("/instances?page_token={token}"),
+            None => "/instances".to_owned(),
+        };
+        let request = Request::get(path).header(HOST, self.address.to_string()).body(Empty::new());
+        let request = request.map_err(|error| CloudError::Unreadable(error.to_string()))?;
+        let response = sender.send_request(request).await.map_err(unreached)?;
+        let status = response.status();
+        let body = Limited::new(response.into_body(), LONGEST_PAGE).collect().await;
+        let body = body.map_err(|error| CloudError::Unreadable(error.to_string()))?.to_bytes();
+        Ok((status, body))
     }
 
     async fn connect(&self) -> Result<Sender, CloudError> {
-        let stream = crate::link::connect(self.from, self.address, 1).await;
-        let stream = stream.map_err(|error| CloudError::Unreached(error.to_string()))?;
+        let mut tries = 0;
+        let stream = loop {
+            match crate::link::connect(self.from, self.address, tries).await {
+                Ok(stream) => break stream,
+                Err(_) if tries + 1 < CONNECT_TRIES => tries += 1,
+                Err(error) => return Err(CloudError::Unreached(error.to_string())),
+            }
+        };
         let made = handshake(TokioIo::new(stream)).await;
         let (sender, connection) = made.map_err(|error| CloudError::Unreached(error.to_string()))?;
         spawn_local(async move {
@@ -149,3 +167,11 @@
         Ok(sender)
     }
 }
+
+/// What the platform has answered, as a page of the list.
+fn page_of((status, body): (StatusCode, Bytes)) -> Result<Page, CloudError> {
+    if status != StatusCode::OK {
+        return Err(CloudError::Refused(status));
+    }
+    serde_json::from_slice(&body).map_err(|error| CloudError::Unreadable(error.to_string()))
+}
--- a/system/src/lib.rs
+++ b/system/src/lib.rs
@@ -4,7 +4,7 @@
 //! clock. One thread does all but the writing to disk, which has its own, so that a disk that hangs holds nothing else up.
 
 pub mod clock;
-mod cloud;
+pub mod cloud;
 mod control;
 mod disk;
 mod http;
--- /dev/null
+++ b/system/tests/cloud.rs
@@ -0,0 +1,259 @@
+//! Reading the platform's list from a scripted platform on loopback sockets, in virtual time: connections that are cut or reset,
+//! pages that come late or never, and readings that are given up half way.
+
+use std::cell::RefCell;
+use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
+use std::rc::Rc;
+use std::time::Duration;
+
+use googletest::prelude::*;
+use ivyhatch_system::cloud::{Cloud, CloudError, KEPT_CONNECTION, WHOLE_LIST};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::{LocalSet, spawn_local};
+use tokio::time::{Instant, sleep, timeout};
+
+/// What the platform does with one call, in the order in which calls come.
+#[derive(Clone, Copy, Debug)]
+enum Reply {
+    /// A page with this one server, and the token of the next page.
+    Page(&'static str, Option<&'static str>),
+    /// The same after a while.
+    Late(Duration, &'static str, Option<&'static str>),
+    /// Nothing, ever; the connection stays.
+    Silence,
+    /// The connection ends.
+    Close,
+    /// Too many calls.
+    TooMany,
+    /// A part of a page, and nothing more.
+    Part,
+}
+
+/// A platform, with what it was asked: the number of the connection, and the path.
+struct Platform {
+    at: SocketAddrV4,
+    asked: Rc<RefCell<Vec<(usize, String)>>>,
+}
+
+impl Platform {
+    async fn start(replies: &[Reply]) -> Self {
+        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await.expect("loopback");
+        let SocketAddr::V4(at) = listener.local_addr().expect("it has one") else { unreachable!() };
+        let asked = Rc::new(RefCell::new(Vec::new()));
+        let script = Rc::new(RefCell::new(replies.to_vec().into_iter()));
+        let seen = asked.clone();
+        spawn_local(async move {
+            for connection in 1.. {
+                let (stream, _) = listener.accept().await.expect("it comes");
+                spawn_local(converse(connection, stream, script.clone(), seen.clone()));
+            }
+        });
+        Self { at, asked }
+    }
+
+    fn asked(&self) -> Vec<(usize, String)> {
+        self.asked.borrow().clone()
+    }
+
+    /// The number of the connection on which each call came.
+    fn connections(&self) -> Vec<usize> {
+        self.asked.borrow().iter().map(|(connection, _)| *connection).collect()
+    }
+}
+
+async fn converse(
+    connection: usize,
+    mut stream: TcpStream,
+    script: Rc<RefCell<std::vec::IntoIter<Reply>>>,
+    asked: Rc<RefCell<Vec<(usize, String)>>>,
+) {
+    while let Some(path) = request(&mut stream).await {
+        asked.borrow_mut().push((connection, path));
+        let reply = script.borrow_mut().next().expect("the script has a reply for each call");
+        let (status, body) = match reply {
+            Reply::Page(id, next) => ("200 OK", page(id, next)),
+            Reply::Late(after, id, next) => {
+                sleep(after).await;
+                ("200 OK", page(id, next))
+            }
+            Reply::Silence => {
+                let _ = stream.read(&mut [0; 64]).await;
+                return;
+            }
+            Reply::Close => return,
+            Reply::TooMany => ("429 Too Many Requests", String::new()),
+            Reply::Part => {
+                let _ = stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 500\r\n\r\n{\"inst").await;
+                let _ = stream.read(&mut [0; 64]).await;
+                return;
+            }
+        };
+        let head = format!("HTTP/1.1 {status}\r\nContent-Length: {}\r\n\r\n", body.len());
+        if stream.write_all((head + &body).as_bytes()).await.is_err() {
+            return;
+        }
+    }
+}
+
+/// The path of the next request on a connection.
+async fn request(stream: &mut TcpStream) -> Option<String> {
+    let mut text = Vec::new();
+    while !text.ends_with(b"\r\n\r\n") {
+        text.push(stream.read_u8().await.ok()?);
+    }
+    Some(String::from_utf8(text).ok()?.split(' ').nth(1)?.to_owned())
+}
+
+fn page(id: &str, next: Option<&str>) -> String {
+    let next = next.map_or_else(|| "null".to_owned(), |token| format!("\"{token}\""));
+    format!(
+        r#"{{"instances":[{{"id":"{id}","service":"s","address":"10.0.0.1:80","zone":"a","slots":8,"state":"ready","cold_left_ms":0}}],"next_token":{next}}}"#
+    )
+}
+
+type Outcome = std::result::Result<Vec<String>, CloudError>;
+
+/// The whole list, by the servers' ids, and how long it took.
+async fn read(cloud: &mut Cloud) -> (Outcome, Duration) {
+    let began = Instant::now();
+    let read = cloud.read().await;
+    (read.map(|servers| servers.into_iter().map(|server| server.id).collect()), began.elapsed())
+}
+
+/// Runs a test in virtual time.
+fn play<F: Future<Output = ()>>(test: F) {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().start_paused(true).build();
+    LocalSet::new().block_on(&runtime.expect("a runtime"), test);
+}
+
+fn ids(outcome: Outcome) -> Vec<String> {
+    outcome.expect("the list comes")
+}
+
+const FIRST: &str = "/instances";
+const SECOND: &str = "/instances?page_token=p-50";
+
+#[gtest]
+fn all_pages_come_on_one_connection_that_is_kept() {
+    play(async {
+        let platform = Platform::start(&[
+            Reply::Page("i-1", Some("p-50")),
+            Reply::Page("i-2", None),
+            Reply::Page("i-3", None),
+        ])
+        .await;
+        let mut cloud = Cloud::new(Ipv4Addr::LOCALHOST, platform.at);
+        expect_that!(ids(read(&mut cloud).await.0), elements_are![eq("i-1"), eq("i-2")]);
+        expect_that!(ids(read(&mut cloud).await.0), elements_are![eq("i-3")]);
+        let asked = platform.asked();
+        expect_that!(asked, eq(&[FIRST, SECOND, FIRST].map(|path| (1, path.to_owned()))));
+    });
+}
+
+#[gtest]
+fn a_kept_connection_that_is_silent_is_given_up_for_a_new_one() {
+    play(async {
+        let platform =
+            Platform::start(&[Reply::Page("i-1", None), Reply::Silence, Reply::Page("i-2", None)]).await;
+        let mut cloud = Cloud::new(Ipv4Addr::LOCALHOST, platform.at);
+        ids(read(&mut cloud).await.0);
+        let (list, took) = read(&mut cloud).await;
+        expect_that!(ids(list), elements_are![eq("i-2")]);
+        expect_that!(took, all![ge(KEPT_CONNECTION), lt(KEPT_CONNECTION + Duration::from_millis(50))]);
+        expect_that!(platform.connections(), eq(&[1, 1, 2]));
+    });
+}
+
+#[gtest]
+fn a_kept_connection_that_was_closed_costs_no_time() {
+    play(async {
+        let platform =
+            Platform::start(&[Reply::Page("i-1", None), Reply::Close, Reply::Page("i-2", None)]).await;
+        let mut cloud = Cloud::new(Ipv4Addr::LOCALHOST, platform.at);
+        ids(read(&mut cloud).await.0);
+        let (list, took) = read(&mut cloud).await;
+        expect_that!(ids(list), elements_are![eq("i-2")]);
+        expect_that!(took, lt(Duration::from_millis(50)));
+    });
+}
+
+#[gtest]
+fn a_reading_ends_in_time_however_slow_its_pages_are() {
+    play(async {
+        let slow = Reply::Late(KEPT_CONNECTION - Duration::from_millis(10), "i-1", Some("p-50"));
+        let platform = Platform::start(&[slow; 20]).await;
+        let mut cloud = Cloud::new(Ipv4Addr::LOCALHOST, platform.at);
+        let (list, took) = read(&mut cloud).await;
+        expect_that!(list, err(matches_pattern!(CloudError::Late)));
+        expect_that!(took, all![ge(WHOLE_LIST), lt(WHOLE_LIST + Duration::from_millis(50))]);
+    });
+}
+
+#[gtest]
+fn a_platform_that_says_nothing_or_half_a_page_is_late() {
+    for reply in [Reply::Silence, Reply::Part] {
+        play(async move {
+            let platform = Platform::start(&[reply; 4]).await;
+            let mut cloud = Cloud::new(Ipv4Addr::LOCALHOST, platform.at);
+            let (list, took) = read(&mut cloud).await;
+            expect_that!(list, err(matches_pattern!(CloudError::Late)), "{reply:?}");
+            expect_that!(took, lt(WHOLE_LIST + Duration::from_millis(50)), "{reply:?}");
+        });
+    }
+}
+
+#[gtest]
+fn a_late_page_of_a_reading_that_was_given_up_is_no_page_of_the_next() {
+    play(async {
+        let late = Reply::Late(WHOLE_LIST + Duration::from_millis(100), "i-old", Some("p-50"));
+        let platform =
+            Platform::start(&[late, Reply::Page("i-1", Some("p-50")), Reply::Page("i-2", None)]).await;
+        let mut cloud = Cloud::new(Ipv4Addr::LOCALHOST, platform.at);
+        expect_that!(read(&mut cloud).await.0, err(matches_pattern!(CloudError::Late)));
+        expect_that!(ids(read(&mut cloud).await.0), elements_are![eq("i-1"), eq("i-2")]);
+        expect_that!(platform.connections(), eq(&[1, 2, 2]));
+    });
+}
+
+#[gtest]
+fn a_reading_that_is_dropped_half_way_leaves_nothing_to_the_next() {
+    play(async {
+        let platform = Platform::start(&[
+            Reply::Page("i-old", Some("p-50")),
+            Reply::Late(Duration::from_millis(50), "i-older", None),
+            Reply::Page("i-1", None),
+        ])
+        .await;
+        let mut cloud = Cloud::new(Ipv4Addr::LOCALHOST, platform.at);
+        let dropped = timeout(Duration::from_millis(20), cloud.read()).await;
+        expect_that!(dropped, err(anything()));
+        expect_that!(ids(read(&mut cloud).await.0), elements_are![eq("i-1")]);
+        let asked = platform.asked();
+        expect_that!(asked.last(), some(eq(&(2, FIRST.to_owned()))));
+    });
+}
+
+#[gtest]
+fn a_refusal_is_told_as_one() {
+    play(async {
+        let platform = Platform::start(&[Reply::TooMany, Reply::Page("i-1", None)]).await;
+        let mut cloud = Cloud::new(Ipv4Addr::LOCALHOST, platform.at);
+        let (list, _) = read(&mut cloud).await;
+        let too_many = hyper::StatusCode::TOO_MANY_REQUESTS;
+        expect_that!(list, err(matches_pattern!(CloudError::Refused(eq(&too_many)))));
+        expect_that!(ids(read(&mut cloud).await.0), elements_are![eq("i-1")]);
+    });
+}
+
+#[gtest]
+fn nobody_there_is_told_at_once() {
+    play(async {
+        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await.expect("loopback");
+        let SocketAddr::V4(at) = listener.local_addr().expect("it has one") else { unreachable!() };
+        drop(listener);
+        let (list, took) = read(&mut Cloud::new(Ipv4Addr::LOCALHOST, at)).await;
+        expect_that!(list, err(matches_pattern!(CloudError::Unreached(_))));
+        expect_that!(took, lt(Duration::from_millis(50)));
+    });
+}
