--- a/control/src/node.rs
+++ b/control/src/node.rs
@@ -957,7 +957,14 @@
 
     fn drive_reader(&mut self, input: Input, mut servers: Option<Vec<Server>>, out: &mut Vec<Action>) {
         let mut outputs = Vec::new();
+        let before = self.reader.reads_under();
         self.reader.handle(self.now, input, &mut outputs);
+        let after = self.reader.reads_under();
+        if after != before {
+            let pairs =
+                after.map_or_else(|| "reads=false".into(), |epoch| format!("reads=true epoch={epoch}"));
+            out.push(Action::Log("list_duty", pairs));
+        }
         for output in outputs {
             match output {
                 Output::Read(read) => out.push(Action::ReadList(read)),
@@ -976,6 +983,7 @@
     fn renew_list_duty(&mut self, newest: Epoch, out: &mut Vec<Action>) {
         let part = Part::of(LIST_DUTY);
         let Some(register) = self.registers.get_mut(&part) else { return };
+        out.push(Action::Log("list_duty", format!("reads=false deposed_by={newest}")));
         let mut effects = Vec::new();
         register.outdated(newest, &mut effects);
         self.carry_out(part, effects, out);
--- a/control/src/server_list.rs
+++ b/control/src/server_list.rs
@@ -121,6 +121,11 @@
         now >= self.left_until
     }
 
+    /// The epoch under which it reads now, if it does.
+    pub fn reads_under(&self) -> Option<Epoch> {
+        self.epoch
+    }
+
     fn check(&mut self, now: Nanos, duty: Duty, out: &mut Vec<Output>) {
         if self.is_outdated(duty) {
             self.renew_in_time(now, duty, out);
--- a/system/tests/cloud.rs
+++ b/system/tests/cloud.rs
@@ -2,6 +2,7 @@
 //! pages that come late or never, and readings that are given up half way.
 
 use std::cell::RefCell;
+use std::collections::VecDeque;
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
 use std::rc::Rc;
 use std::time::Duration;
@@ -37,11 +38,11 @@
 }
 
 impl Platform {
-    async fn start(replies: &[Reply]) -> Self {
+    async fn start(replies: impl IntoIterator<Item = Reply>) -> Self {
         let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await.expect("loopback");
         let SocketAddr::V4(at) = listener.local_addr().expect("it has one") else { unreachable!() };
         let asked = Rc::new(RefCell::new(Vec::new()));
-        let script = Rc::new(RefCell::new(replies.to_vec().into_iter()));
+        let script = Rc::new(RefCell::new(replies.into_iter().collect::<VecDeque<_>>()));
         let seen = asked.clone();
         spawn_local(async move {
             for connection in 1.. {
@@ -65,12 +66,12 @@
 async fn converse(
     connection: usize,
     mut stream: TcpStream,
-    script: Rc<RefCell<std::vec::IntoIter<Reply>>>,
+    script: Rc<RefCell<VecDeque<Reply>>>,
     asked: Rc<RefCell<Vec<(usize, String)>>>,
 ) {
     while let Some(path) = request(&mut stream).await {
         asked.borrow_mut().push((connection, path));
-        let reply = script.borrow_mut().next().expect("the script has a reply for each call");
+        let reply = script.borrow_mut().pop_front().expect("the script has a reply for each call");
         let (status, body) = match reply {
             Reply::Page(id, next) => ("200 OK", page(id, next)),
             Reply::Late(after, id, next) => {
@@ -137,7 +138,7 @@
 #[gtest]
 fn all_pages_come_on_one_connection_that_is_kept() {
     play(async {
-        let platform = Platform::start(&[
+        let platform = Platform::start([
             Reply::Page("i-1", Some("p-50")),
             Reply::Page("i-2", None),
             Reply::Page("i-3", None),
@@ -155,7 +156,7 @@
 fn a_kept_connection_that_is_silent_is_given_up_for_a_new_one() {
     play(async {
         let platform =
-            Platform::start(&[Reply::Page("i-1", None), Reply::Silence, Reply::Page("i-2", None)]).await;
+            Platform::start([Reply::Page("i-1", None), Reply::Silence, Reply::Page("i-2", None)]).await;
         let mut cloud = Cloud::new(Ipv4Addr::LOCALHOST, platform.at);
         ids(read(&mut cloud).await.0);
         let (list, took) = read(&mut cloud).await;
@@ -169,7 +170,7 @@
 fn a_kept_connection_that_was_closed_costs_no_time() {
     play(async {
         let platform =
-            Platform::start(&[Reply::Page("i-1", None), Reply::Close, Reply::Page("i-2", None)]).await;
+            Platform::start([Reply::Page("i-1", None), Reply::Close, Reply::Page("i-2", None)]).await;
         let mut cloud = Cloud::new(Ipv4Addr::LOCALHOST, platform.at);
         ids(read(&mut cloud).await.0);
         let (list, took) = read(&mut cloud).await;
@@ -182,7 +183,7 @@
 fn a_reading_ends_in_time_however_slow_its_pages_are() {
     play(async {
         let slow = Reply::Late(KEPT_CONNECTION - Duration::from_millis(10), "i-1", Some("p-50"));
-        let platform = Platform::start(&[slow; 20]).await;
+        let platform = Platform::start([slow; 20]).await;
         let mut cloud = Cloud::new(Ipv4Addr::LOCALHOST, platform.at);
         let (list, took) = read(&mut cloud).await;
         expect_that!(list, err(matches_pattern!(CloudError::Late)));
@@ -194,7 +195,7 @@
 fn a_platform_that_says_nothing_or_half_a_page_is_late() {
     for reply in [Reply::Silence, Reply::Part] {
         play(async move {
-            let platform = Platform::start(&[reply; 4]).await;
+            let platform = Platform::start([reply; 4]).await;
             let mut cloud = Cloud::new(Ipv4Addr::LOCALHOST, platform.at);
             let (list, took) = read(&mut cloud).await;
             expect_that!(list, err(matches_pattern!(CloudError::Late)), "{reply:?}");
@@ -208,7 +209,7 @@
     play(async {
         let late = Reply::Late(WHOLE_LIST + Duration::from_millis(100), "i-old", Some("p-50"));
         let platform =
-            Platform::start(&[late, Reply::Page("i-1", Some("p-50")), Reply::Page("i-2", None)]).await;
+            Platform::start([late, Reply::Page("i-1", Some("p-50")), Reply::Page("i-2", None)]).await;
         let mut cloud = Cloud::new(Ipv4Addr::LOCALHOST, platform.at);
         expect_that!(read(&mut cloud).await.0, err(matches_pattern!(CloudError::Late)));
         expect_that!(ids(read(&mut cloud).await.0), elements_are![eq("i-1"), eq("i-2")]);
@@ -219,7 +220,7 @@
 #[gtest]
 fn a_reading_that_is_dropped_half_way_leaves_nothing_to_the_next() {
     play(async {
-        let platform = Platform::start(&[
+        let platform = Platform::start([
             Reply::Page("i-old", Some("p-50")),
             Reply::Late(Duration::from_millis(50), "i-older", None),
             Reply::Page("i-1", None),
@@ -237,7 +238,7 @@
 #[gtest]
 fn a_refusal_is_told_as_one() {
     play(async {
-        let platform = Platform::start(&[Reply::TooMany, Reply::Page("i-1", None)]).await;
+        let platform = Platform::start([Reply::TooMany, Reply::Page("i-1", None)]).await;
         let mut cloud = Cloud::new(Ipv4Addr::LOCALHOST, platform.at);
         let (list, _) = read(&mut cloud).await;
         let too_many = hyper::StatusCode::TOO_MANY_REQUESTS;
