The age of the list is bounded in virtual time while its reader is in trouble

control/tests/list_gap.rs plays three control nodes with links that come back one by one: the reader killed (324 runs), frozen (38), cut off each way (87), cut off from one of the others (210), without the platform, and the next reader's first call lost.

--- /dev/null
+++ b/control/tests/list_gap.rs
@@ -0,0 +1,387 @@
+//! How old the list of servers may get at those who are well while its reader is killed, cut off or frozen: three control nodes in
+//! virtual time, with links that come back one by one, at moments that are swept over.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use googletest::prelude::*;
+use ivyhatch_control::server_list::{ANSWER_LIMIT, MOST_FAILURES, RETRY, ReadId};
+use ivyhatch_control::stored::Stored;
+use ivyhatch_control::{Action, Event, Identity, Node, Record, Token};
+use ivyhatch_protocol::feed::Server;
+use ivyhatch_protocol::ids::{NodeId, Part};
+use ivyhatch_protocol::peer::{Group, Peer};
+use ivyhatch_protocol::{MILLISECOND, Nanos, SECOND};
+
+const NODES: usize = 3;
+const TICK: Nanos = 100 * MILLISECOND;
+const WAY: Nanos = 35 * MILLISECOND;
+const SYNC: Nanos = 3 * MILLISECOND;
+const CALL: Nanos = 40 * MILLISECOND;
+/// A call to a platform that can't be reached fails after this.
+const UNREACHED: Nanos = SECOND;
+const LIST_EVERY: Nanos = 500 * MILLISECOND;
+/// The platform's list changes as often as this: its age can be told from what it holds.
+const STEP: Nanos = 50 * MILLISECOND;
+const TROUBLE_AT: Nanos = 5 * SECOND;
+const END: Nanos = 16 * SECOND;
+
+/// The highest age of the list while the platform answers in time; `docs/design/list-reader.md` adds it up.
+const BOUND: Nanos = LIST_EVERY + 1600 * MILLISECOND;
+/// The same where the next reader's first call is lost.
+const BOUND_LOST_CALL: Nanos = BOUND + ANSWER_LIMIT + TICK;
+/// The same where the reader, which is well, can't reach the platform: as many calls as it makes, and the pauses between them.
+const BOUND_UNREACHED: Nanos = BOUND + MOST_FAILURES as u64 * (UNREACHED + RETRY + TICK);
+
+#[derive(Debug)]
+enum Happening {
+    Tick(usize, u64),
+    Arrives { from: usize, to: usize, life: u64, message: Peer },
+    Synced(usize, u64, Token, Vec<Record>),
+    Read(usize, u64, ReadId),
+    ReadFailed(usize, u64, ReadId),
+    LinkUp(usize, usize),
+    LinkDown(usize, usize),
+    PlatformUnreached(usize),
+    Kill(usize),
+    Start(usize),
+    Freeze(usize),
+    Thaw(usize),
+}
+
+#[derive(Default)]
+struct Machine {
+    node: Option<Node>,
+    life: u64,
+    frozen: bool,
+    held: Vec<Happening>,
+    disk: Vec<Record>,
+}
+
+#[derive(Default)]
+struct Fleet {
+    now: Nanos,
+    count: u64,
+    queue: BTreeMap<(Nanos, u64), Happening>,
+    machines: [Machine; NODES],
+    links: BTreeSet<(usize, usize)>,
+    /// Those who can't reach the platform.
+    without_platform: BTreeSet<usize>,
+    /// Those whose next call is lost.
+    loses_call: BTreeSet<usize>,
+}
+
+fn address(machine: usize) -> NodeId {
+    NodeId(machine as u32 + 1)
+}
+
+fn machine(node: NodeId) -> usize {
+    node.0 as usize - 1
+}
+
+/// The first owner of the duty's part.
+fn first_reader() -> usize {
+    usize::from(Part::of("platform-list").0) % NODES
+}
+
+fn pairs() -> impl Iterator<Item = (usize, usize)> {
+    (0..NODES).flat_map(|from| (0..NODES).map(move |to| (from, to))).filter(|(from, to)| from != to)
+}
+
+impl Fleet {
+    fn new() -> Self {
+        let mut fleet = Self::default();
+        for machine in 0..NODES {
+            let members = (0..NODES).map(address).collect();
+            fleet.machines[machine].disk.push(Record::Group(Group { members }));
+            fleet.at(machine as u64 * 7 * MILLISECOND, Happening::Start(machine));
+        }
+        for (from, to) in pairs() {
+            fleet.at(50 * MILLISECOND, Happening::LinkUp(from, to));
+        }
+        fleet
+    }
+
+    fn at(&mut self, at: Nanos, happening: Happening) {
+        self.count += 1;
+        self.queue.insert((at, self.count), happening);
+    }
+
+    fn after(&mut self, after: Nanos, happening: Happening) {
+        self.at(self.now + after, happening);
+    }
+
+    /// A link is down from then on, for so long.
+    fn cut(&mut self, at: Nanos, from: usize, to: usize, for_so_long: Nanos) {
+        self.at(at, Happening::LinkDown(from, to));
+        self.at(at + for_so_long, Happening::LinkUp(from, to));
+    }
+
+    /// Plays to the end. Returns the highest age of the list at any of these, from the trouble on.
+    fn oldest_at(&mut self, observers: &[usize]) -> Nanos {
+        let mut oldest = 0;
+        while let Some(((at, _), happening)) = self.queue.pop_first() {
+            if at > END {
+                break;
+            }
+            if at > TROUBLE_AT {
+                let ages = observers.iter().map(|observer| at - self.shown(*observer));
+                oldest = oldest.max(ages.max().unwrap_or(0));
+            }
+            self.now = at;
+            self.happen(happening);
+        }
+        oldest
+    }
+
+    /// When the platform showed what a machine has.
+    fn shown(&self, machine: usize) -> Nanos {
+        let node = self.machines[machine].node.as_ref().expect("observers stay up");
+        let steps = node.list().servers(self.now).filter_map(|server| server.id.parse::<u64>().ok());
+        steps.max().unwrap_or(0) * STEP
+    }
+
+    fn happen(&mut self, happening: Happening) {
+        match happening {
+            Happening::Start(machine) => self.start(machine),
+            Happening::Kill(machine) => self.machines[machine].node = None,
+            Happening::Freeze(machine) => self.machines[machine].frozen = true,
+            Happening::Thaw(machine) => self.thaw(machine),
+            Happening::LinkDown(from, to) => drop(self.links.remove(&(from, to))),
+            Happening::PlatformUnreached(machine) => drop(self.without_platform.insert(machine)),
+            Happening::LinkUp(from, to) => {
+                self.links.insert((from, to));
+                self.hear(from, Event::Linked(address(to)));
+            }
+            Happening::Tick(machine, life) => {
+                if self.runs(machine, life, Happening::Tick(machine, life)) {
+                    self.hear(machine, Event::Tick);
+                    self.after(TICK, Happening::Tick(machine, life));
+                }
+            }
+            Happening::Arrives { from, to, life, message } => {
+                let copy = Happening::Arrives { from, to, life, message: message.clone() };
+                if self.runs(to, life, copy) {
+                    self.hear(to, Event::Peer(address(from), message));
+                }
+            }
+            Happening::Synced(machine, life, token, records) => {
+                self.machines[machine].disk.extend(records);
+                if self.runs(machine, life, Happening::Synced(machine, life, token, Vec::new())) {
+                    self.hear(machine, Event::Stored(token));
+                }
+            }
+            Happening::Read(machine, life, read) => {
+                if self.runs(machine, life, Happening::Read(machine, life, read)) {
+                    self.hear(machine, Event::Listed(read, vec![self.platform()]));
+                }
+            }
+            Happening::ReadFailed(machine, life, read) => {
+                if self.runs(machine, life, Happening::ReadFailed(machine, life, read)) {
+                    self.hear(machine, Event::ListFailed(read));
+                }
+            }
+        }
+    }
+
+    /// The platform is asked for its list.
+    fn read(&mut self, machine: usize, life: u64, read: ReadId) {
+        if self.now > TROUBLE_AT && self.loses_call.remove(&machine) {
+            return;
+        }
+        if self.without_platform.contains(&machine) {
+            self.after(UNREACHED, Happening::ReadFailed(machine, life, read));
+        } else {
+            self.after(CALL, Happening::Read(machine, life, read));
+        }
+    }
+
+    fn platform(&self) -> Server {
+        Server {
+            id: (self.now / STEP).to_string(),
+            service: "s".to_owned(),
+            address: "10.128.0.9:8080".to_owned(),
+            zone: "a".to_owned(),
+            slots: 8,
+            draining: false,
+            cold_left_ms: 0,
+            remaining_ms: None,
+        }
+    }
+
+    /// Whether a process of this life runs; one that is frozen hears it later.
+    fn runs(&mut self, machine: usize, life: u64, happening: Happening) -> bool {
+        let this = &mut self.machines[machine];
+        let there = this.node.is_some() && this.life == life;
+        if there && this.frozen {
+            this.held.push(happening);
+        }
+        there && !this.frozen
+    }
+
+    fn thaw(&mut self, machine: usize) {
+        self.machines[machine].frozen = false;
+        for happening in std::mem::take(&mut self.machines[machine].held) {
+            self.after(0, happening);
+        }
+    }
+
+    fn start(&mut self, machine: usize) {
+        let this = &mut self.machines[machine];
+        this.life += 1;
+        let identity = Identity {
+            me: address(machine),
+            life: this.life * 10 + machine as u64,
+            has_disk: true,
+            first_start: false,
+            seeds: (0..NODES).map(address).collect(),
+            zones: BTreeSet::new(),
+            tolerate: 1,
+            list_every: LIST_EVERY,
+        };
+        let stored: Stored = this.disk.iter().cloned().collect();
+        this.node = Some(Node::new(identity, stored, self.now));
+        let life = this.life;
+        self.after(0, Happening::Tick(machine, life));
+    }
+
+    fn hear(&mut self, machine: usize, event: Event) {
+        let now = self.now;
+        let mut actions = Vec::new();
+        let Some(node) = self.machines[machine].node.as_mut() else { return };
+        node.handle(now, event, &mut actions);
+        for action in actions {
+            self.act(machine, action);
+        }
+    }
+
+    fn act(&mut self, from: usize, action: Action) {
+        let life = self.machines[from].life;
+        match action {
+            Action::Tell(to, message) if self.links.contains(&(from, machine(to))) => {
+                let to = machine(to);
+                let life = self.machines[to].life;
+                self.after(WAY, Happening::Arrives { from, to, life, message });
+            }
+            Action::Store(token, records) => self.after(SYNC, Happening::Synced(from, life, token, records)),
+            Action::ReadList(read) => self.read(from, life, read),
+            _ => {}
+        }
+    }
+}
+
+fn others() -> [usize; 2] {
+    [1, 2].map(|place| (first_reader() + place) % NODES)
+}
+
+#[gtest]
+fn nothing_happens_and_the_list_is_as_old_as_its_interval() {
+    let oldest = Fleet::new().oldest_at(&[0, 1, 2]);
+    expect_that!(oldest, lt(LIST_EVERY + TICK + CALL + WAY + 2 * STEP));
+}
+
+#[gtest]
+fn the_reader_is_killed_and_its_links_come_back_one_by_one() {
+    let reader = first_reader();
+    let ends = others().map(|other| [(reader, other), (other, reader)]).concat();
+    let delays = [5, 300, 700];
+    for for_ms in [60, 500, 900, 2500] {
+        for mix in 0..delays.len().pow(4) {
+            let mut fleet = Fleet::new();
+            let at = TROUBLE_AT + (mix as u64 * 13 % 100) * MILLISECOND;
+            fleet.at(at, Happening::Kill(reader));
+            fleet.at(at + for_ms * MILLISECOND, Happening::Start(reader));
+            let mut ways = Vec::new();
+            for (place, (from, to)) in ends.iter().enumerate() {
+                let delay = delays[mix / delays.len().pow(place as u32) % delays.len()];
+                fleet.cut(at, *from, *to, (for_ms + delay) * MILLISECOND);
+                ways.push(delay);
+            }
+            let oldest = fleet.oldest_at(&others());
+            expect_that!(oldest, lt(BOUND), "killed for {for_ms} ms, links after {ways:?}");
+        }
+    }
+}
+
+#[gtest]
+fn the_reader_is_frozen() {
+    for for_ms in (100..5000).step_by(130) {
+        let mut fleet = Fleet::new();
+        let at = TROUBLE_AT + (for_ms % 100) * MILLISECOND;
+        fleet.at(at, Happening::Freeze(first_reader()));
+        fleet.at(at + for_ms * MILLISECOND, Happening::Thaw(first_reader()));
+        let oldest = fleet.oldest_at(&others());
+        expect_that!(oldest, lt(BOUND), "frozen for {for_ms} ms");
+    }
+}
+
+#[gtest]
+fn the_reader_is_cut_off_each_way() {
+    let reader = first_reader();
+    for for_ms in (100..5000).step_by(170) {
+        for (outward, inward) in [(true, true), (true, false), (false, true)] {
+            let mut fleet = Fleet::new();
+            for other in others() {
+                for (from, to, is_cut) in [(reader, other, outward), (other, reader, inward)] {
+                    if is_cut {
+                        fleet.cut(TROUBLE_AT, from, to, for_ms * MILLISECOND);
+                    }
+                }
+            }
+            let oldest = fleet.oldest_at(&others());
+            expect_that!(oldest, lt(BOUND), "cut for {for_ms} ms, outward {outward}, inward {inward}");
+        }
+    }
+}
+
+#[gtest]
+fn the_reader_is_cut_off_from_one_of_the_others() {
+    let reader = first_reader();
+    for other in others() {
+        for for_ms in (100..6000).step_by(170) {
+            for (outward, inward) in [(true, true), (true, false), (false, true)] {
+                let mut fleet = Fleet::new();
+                for (from, to, is_cut) in [(reader, other, outward), (other, reader, inward)] {
+                    if is_cut {
+                        fleet.cut(TROUBLE_AT, from, to, for_ms * MILLISECOND);
+                    }
+                }
+                let oldest = fleet.oldest_at(&[0, 1, 2]);
+                expect_that!(
+                    oldest,
+                    lt(BOUND),
+                    "{other} cut for {for_ms} ms, outward {outward}, inward {inward}"
+                );
+            }
+        }
+    }
+}
+
+#[gtest]
+fn the_reader_is_killed_and_the_next_ones_first_call_is_lost() {
+    for other in others() {
+        let mut fleet = Fleet::new();
+        fleet.loses_call.insert(other);
+        fleet.at(TROUBLE_AT, Happening::Kill(first_reader()));
+        expect_that!(fleet.oldest_at(&others()), lt(BOUND_LOST_CALL), "{other}");
+    }
+}
+
+#[gtest]
+fn the_reader_can_not_reach_the_platform() {
+    for after_ms in (0..500).step_by(50) {
+        let mut fleet = Fleet::new();
+        fleet.at(TROUBLE_AT + after_ms * MILLISECOND, Happening::PlatformUnreached(first_reader()));
+        let oldest = fleet.oldest_at(&[0, 1, 2]);
+        expect_that!(oldest, lt(BOUND_UNREACHED), "after {after_ms} ms");
+    }
+}
+
+#[gtest]
+fn only_one_can_reach_the_platform() {
+    let mut fleet = Fleet::new();
+    for other in [first_reader(), others()[0]] {
+        fleet.at(TROUBLE_AT, Happening::PlatformUnreached(other));
+    }
+    let oldest = fleet.oldest_at(&[0, 1, 2]);
+    expect_that!(oldest, lt(BOUND_UNREACHED + BOUND_UNREACHED));
+}
