--- a/control/tests/list_gap.rs
+++ b/control/tests/list_gap.rs
@@ -1,5 +1,5 @@
-//! How old the list of servers may get at those who are well while its reader is killed, cut off or frozen: three control nodes in
-//! virtual time, with links that come back one by one, at moments that are swept over.
+//! How old the list of servers may get at those who are well while its reader is killed, cut off or frozen: three and six control
+//! nodes in virtual time, with links that come back one by one, at moments that are swept over.
 
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -12,7 +12,8 @@
 use ivyhatch_protocol::peer::{Group, Peer};
 use ivyhatch_protocol::{MILLISECOND, Nanos, SECOND};
 
-const NODES: usize = 3;
+/// Control nodes: one in each zone of a small deployment, and of a grown one.
+const SIZES: [usize; 2] = [3, 6];
 const TICK: Nanos = 100 * MILLISECOND;
 const WAY: Nanos = 35 * MILLISECOND;
 const SYNC: Nanos = 3 * MILLISECOND;
@@ -62,7 +63,7 @@
     now: Nanos,
     count: u64,
     queue: BTreeMap<(Nanos, u64), Happening>,
-    machines: [Machine; NODES],
+    machines: Vec<Machine>,
     links: BTreeSet<(usize, usize)>,
     /// Those who can't reach the platform.
     without_platform: BTreeSet<usize>,
@@ -79,23 +80,33 @@
 }
 
 /// The first owner of the duty's part.
-fn first_reader() -> usize {
-    usize::from(Part::of("platform-list").0) % NODES
+fn first_reader(size: usize) -> usize {
+    usize::from(Part::of("platform-list").0) % size
 }
 
-fn pairs() -> impl Iterator<Item = (usize, usize)> {
-    (0..NODES).flat_map(|from| (0..NODES).map(move |to| (from, to))).filter(|(from, to)| from != to)
+/// All but the first owner, in their order.
+fn others(size: usize) -> Vec<usize> {
+    (1..size).map(|place| (first_reader(size) + place) % size).collect()
+}
+
+fn all(size: usize) -> Vec<usize> {
+    (0..size).collect()
+}
+
+fn pairs(size: usize) -> impl Iterator<Item = (usize, usize)> {
+    (0..size).flat_map(move |from| (0..size).map(move |to| (from, to))).filter(|(from, to)| from != to)
 }
 
 impl Fleet {
-    fn new() -> Self {
+    fn new(size: usize) -> Self {
         let mut fleet = Self::default();
-        for machine in 0..NODES {
-            let members = (0..NODES).map(address).collect();
+        fleet.machines.resize_with(size, Machine::default);
+        for machine in 0..size {
+            let members = (0..size).map(address).collect();
             fleet.machines[machine].disk.push(Record::Group(Group { members }));
             fleet.at(machine as u64 * 7 * MILLISECOND, Happening::Start(machine));
         }
-        for (from, to) in pairs() {
+        for (from, to) in pairs(size) {
             fleet.at(50 * MILLISECOND, Happening::LinkUp(from, to));
         }
         fleet
@@ -226,6 +237,7 @@
     }
 
     fn start(&mut self, machine: usize) {
+        let size = self.machines.len();
         let this = &mut self.machines[machine];
         this.life += 1;
         let identity = Identity {
@@ -233,7 +245,7 @@
             life: this.life * 10 + machine as u64,
             has_disk: true,
             first_start: false,
-            seeds: (0..NODES).map(address).collect(),
+            seeds: (0..size.min(3)).map(address).collect(),
             zones: BTreeSet::new(),
             tolerate: 1,
             list_every: LIST_EVERY,
@@ -269,119 +281,141 @@
     }
 }
 
-fn others() -> [usize; 2] {
-    [1, 2].map(|place| (first_reader() + place) % NODES)
-}
-
 #[gtest]
 fn nothing_happens_and_the_list_is_as_old_as_its_interval() {
-    let oldest = Fleet::new().oldest_at(&[0, 1, 2]);
-    expect_that!(oldest, lt(LIST_EVERY + TICK + CALL + WAY + 2 * STEP));
+    for size in SIZES {
+        let oldest = Fleet::new(size).oldest_at(&all(size));
+        expect_that!(oldest, lt(LIST_EVERY + TICK + CALL + WAY + 2 * STEP));
+    }
 }
 
 #[gtest]
 fn the_reader_is_killed_and_its_links_come_back_one_by_one() {
-    let reader = first_reader();
-    let ends = others().map(|other| [(reader, other), (other, reader)]).concat();
-    let delays = [5, 300, 700];
-    for for_ms in [60, 500, 900, 2500] {
-        for mix in 0..delays.len().pow(4) {
-            let mut fleet = Fleet::new();
-            let at = TROUBLE_AT + (mix as u64 * 13 % 100) * MILLISECOND;
-            fleet.at(at, Happening::Kill(reader));
-            fleet.at(at + for_ms * MILLISECOND, Happening::Start(reader));
-            let mut ways = Vec::new();
-            for (place, (from, to)) in ends.iter().enumerate() {
-                let delay = delays[mix / delays.len().pow(place as u32) % delays.len()];
-                fleet.cut(at, *from, *to, (for_ms + delay) * MILLISECOND);
-                ways.push(delay);
+    for size in SIZES {
+        let reader = first_reader(size);
+        let ends: Vec<(usize, usize)> =
+            others(size).into_iter().flat_map(|other| [(reader, other), (other, reader)]).collect();
+        for for_ms in [60, 500, 900, 2500] {
+            for mix in 0..81 {
+                let mut fleet = Fleet::new(size);
+                let at = TROUBLE_AT + (mix * 13 % 100) * MILLISECOND;
+                fleet.at(at, Happening::Kill(reader));
+                fleet.at(at + for_ms * MILLISECOND, Happening::Start(reader));
+                let ways = delays(mix, ends.len());
+                for ((from, to), delay) in ends.iter().zip(&ways) {
+                    fleet.cut(at, *from, *to, (for_ms + delay) * MILLISECOND);
+                }
+                let oldest = fleet.oldest_at(&others(size));
+                expect_that!(oldest, lt(BOUND), "of {size}, killed for {for_ms} ms, links after {ways:?}");
             }
-            let oldest = fleet.oldest_at(&others());
-            expect_that!(oldest, lt(BOUND), "killed for {for_ms} ms, links after {ways:?}");
         }
     }
 }
 
+/// After how many ms each link comes back: for four links all mixes of three delays, for more a part of them.
+fn delays(mix: u64, links: usize) -> Vec<u64> {
+    let digit = |place: usize| {
+        let shuffled = if place < 4 { mix } else { mix * 7 + place as u64 };
+        shuffled / 3_u64.pow(place as u32 % 4) % 3
+    };
+    (0..links).map(|place| [5, 300, 700][digit(place) as usize]).collect()
+}
+
 #[gtest]
 fn the_reader_is_frozen() {
-    for for_ms in (100..5000).step_by(130) {
-        let mut fleet = Fleet::new();
-        let at = TROUBLE_AT + (for_ms % 100) * MILLISECOND;
-        fleet.at(at, Happening::Freeze(first_reader()));
-        fleet.at(at + for_ms * MILLISECOND, Happening::Thaw(first_reader()));
-        let oldest = fleet.oldest_at(&others());
-        expect_that!(oldest, lt(BOUND), "frozen for {for_ms} ms");
+    for size in SIZES {
+        for for_ms in (100..5000).step_by(130) {
+            let mut fleet = Fleet::new(size);
+            let at = TROUBLE_AT + (for_ms % 100) * MILLISECOND;
+            fleet.at(at, Happening::Freeze(first_reader(size)));
+            fleet.at(at + for_ms * MILLISECOND, Happening::Thaw(first_reader(size)));
+            let oldest = fleet.oldest_at(&others(size));
+            expect_that!(oldest, lt(BOUND), "of {size}, frozen for {for_ms} ms");
+        }
     }
 }
 
-#[gtest]
-fn the_reader_is_cut_off_each_way() {
-    let reader = first_reader();
-    for for_ms in (100..5000).step_by(170) {
-        for (outward, inward) in [(true, true), (true, false), (false, true)] {
-            let mut fleet = Fleet::new();
-            for other in others() {
-                for (from, to, is_cut) in [(reader, other, outward), (other, reader, inward)] {
-                    if is_cut {
-                        fleet.cut(TROUBLE_AT, from, to, for_ms * MILLISECOND);
-                    }
-                }
+/// Cuts the reader off from these, outward and inward or one of the two.
+fn cut_off(fleet: &mut Fleet, from: &[usize], (outward, inward): (bool, bool), for_ms: u64) {
+    let reader = first_reader(fleet.machines.len());
+    for other in from {
+        for (from, to, is_cut) in [(reader, *other, outward), (*other, reader, inward)] {
+            if is_cut {
+                fleet.cut(TROUBLE_AT, from, to, for_ms * MILLISECOND);
             }
-            let oldest = fleet.oldest_at(&others());
-            expect_that!(oldest, lt(BOUND), "cut for {for_ms} ms, outward {outward}, inward {inward}");
         }
     }
 }
 
+const WAYS: [(bool, bool); 3] = [(true, true), (true, false), (false, true)];
+
 #[gtest]
-fn the_reader_is_cut_off_from_one_of_the_others() {
-    let reader = first_reader();
-    for other in others() {
-        for for_ms in (100..6000).step_by(170) {
-            for (outward, inward) in [(true, true), (true, false), (false, true)] {
-                let mut fleet = Fleet::new();
-                for (from, to, is_cut) in [(reader, other, outward), (other, reader, inward)] {
-                    if is_cut {
-                        fleet.cut(TROUBLE_AT, from, to, for_ms * MILLISECOND);
-                    }
-                }
-                let oldest = fleet.oldest_at(&[0, 1, 2]);
+fn the_reader_is_cut_off_each_way() {
+    for size in SIZES {
+        for for_ms in (100..5000).step_by(170) {
+            for ways in WAYS {
+                let mut fleet = Fleet::new(size);
+                cut_off(&mut fleet, &others(size), ways, for_ms);
+                let oldest = fleet.oldest_at(&others(size));
                 expect_that!(
                     oldest,
                     lt(BOUND),
-                    "{other} cut for {for_ms} ms, outward {outward}, inward {inward}"
+                    "of {size}, cut for {for_ms} ms, outward and inward {ways:?}"
                 );
             }
         }
     }
 }
 
+#[gtest]
+fn the_reader_is_cut_off_from_one_of_the_others() {
+    for size in SIZES {
+        for other in others(size) {
+            for for_ms in (100..6000).step_by(170) {
+                for ways in WAYS {
+                    let mut fleet = Fleet::new(size);
+                    cut_off(&mut fleet, &[other], ways, for_ms);
+                    let oldest = fleet.oldest_at(&all(size));
+                    expect_that!(oldest, lt(BOUND), "of {size}, {other} cut for {for_ms} ms, {ways:?}");
+                }
+            }
+        }
+    }
+}
+
 #[gtest]
 fn the_reader_is_killed_and_the_next_ones_first_call_is_lost() {
-    for other in others() {
-        let mut fleet = Fleet::new();
-        fleet.loses_call.insert(other);
-        fleet.at(TROUBLE_AT, Happening::Kill(first_reader()));
-        expect_that!(fleet.oldest_at(&others()), lt(BOUND_LOST_CALL), "{other}");
+    for size in SIZES {
+        for other in others(size) {
+            let mut fleet = Fleet::new(size);
+            fleet.loses_call.insert(other);
+            fleet.at(TROUBLE_AT, Happening::Kill(first_reader(size)));
+            expect_that!(fleet.oldest_at(&others(size)), lt(BOUND_LOST_CALL), "of {size}, {other}");
+        }
     }
 }
 
 #[gtest]
 fn the_reader_can_not_reach_the_platform() {
-    for after_ms in (0..500).step_by(50) {
-        let mut fleet = Fleet::new();
-        fleet.at(TROUBLE_AT + after_ms * MILLISECOND, Happening::PlatformUnreached(first_reader()));
-        let oldest = fleet.oldest_at(&[0, 1, 2]);
-        expect_that!(oldest, lt(BOUND_UNREACHED), "after {after_ms} ms");
+    for size in SIZES {
+        for after_ms in (0..500).step_by(50) {
+            let mut fleet = Fleet::new(size);
+            let at = TROUBLE_AT + after_ms * MILLISECOND;
+            fleet.at(at, Happening::PlatformUnreached(first_reader(size)));
+            let oldest = fleet.oldest_at(&all(size));
+            expect_that!(oldest, lt(BOUND_UNREACHED), "of {size}, after {after_ms} ms");
+        }
     }
 }
 
 #[gtest]
-fn only_one_can_reach_the_platform() {
-    let mut fleet = Fleet::new();
-    for other in [first_reader(), others()[0]] {
-        fleet.at(TROUBLE_AT, Happening::PlatformUnreached(other));
+fn neither_can_the_second() {
+    for size in SIZES {
+        let mut fleet = Fleet::new(size);
+        for other in [first_reader(size), others(size)[0]] {
+            fleet.at(TROUBLE_AT, Happening::PlatformUnreached(other));
+        }
+        let oldest = fleet.oldest_at(&all(size));
+        expect_that!(oldest, lt(BOUND_UNREACHED + BOUND_UNREACHED), "of {size}");
     }
-    let oldest = fleet.oldest_at(&[0, 1, 2]);
-    expect_that!(oldest, lt(BOUND_UNREACHED + BOUND_UNREACHED));
 }
