--- a/control/src/control_plane.rs
+++ b/control/src/control_plane.rs
@@ -16,7 +16,7 @@
 use crate::membership::StateCollection;
 use crate::partition::{Effect, PartitionReplica};
 use crate::routers::Routers;
-use crate::server_list_duty::ListDuty;
+use crate::server_list::ListReader;
 use crate::state::State;
 use crate::stored::Stored;
 use crate::watch::WatchSession;
@@ -56,7 +56,7 @@
     pub(crate) servers_asked: Nanos,
     pub(crate) feed: Feed,
     pub(crate) list: List,
-    pub(crate) list_duty: ListDuty,
+    pub(crate) list_reader: ListReader,
     pub(crate) routers: Routers,
     pub(crate) sessions: BTreeMap<SessionId, WatchSession>,
     pub(crate) sessions_sent: Nanos,
@@ -114,7 +114,7 @@
             servers_asked: 0,
             feed: Feed::default(),
             list: List::default(),
-            list_duty: ListDuty::default(),
+            list_reader: ListReader::new(identity.list_every),
             routers: Routers::default(),
             sessions: BTreeMap::new(),
             sessions_sent: 0,
@@ -165,8 +165,8 @@
             Input::AdminCancelled(id) => self.admin_cancelled(id),
             Input::Follower(session, message) => self.follower_message(session, message, out),
             Input::Closed(session) => self.session_closed(session),
-            Input::ServerList(servers) => self.server_list_read(servers, out),
-            Input::ServerListFailed => self.server_list_failed(out),
+            Input::ServerList(read, servers) => self.server_list_read(read, servers, out),
+            Input::ServerListFailed(read) => self.server_list_failed(read, out),
             Input::Seeds(seeds) => self.identity.seeds = seeds,
             Input::Leave => self.leave(out),
         }
@@ -184,7 +184,7 @@
         self.contend(out);
         self.expire_requests(out);
         self.route_all(out);
-        self.read_server_list(out);
+        self.check_list_duty(out);
         self.tend_sessions(out);
         self.note_quorum(out);
         self.heartbeat_if_due(out);
--- a/control/src/interface.rs
+++ b/control/src/interface.rs
@@ -8,6 +8,7 @@
 use ivyhatch_protocol::peer::{AdminRequest, AdminResponse, Peer};
 
 use crate::Record;
+use crate::server_list::ReadId;
 
 /// An operator's request, as the embedder numbers them.
 pub type RequestId = u64;
@@ -59,9 +60,9 @@
     /// A session has ended.
     Closed(SessionId),
     /// The platform has handed out the whole list of servers.
-    ServerList(Vec<Server>),
+    ServerList(ReadId, Vec<Server>),
     /// The platform could not be asked.
-    ServerListFailed,
+    ServerListFailed(ReadId),
     /// The settings name these seeds now.
     Seeds(Vec<NodeId>),
     /// The process has been told to end.
@@ -83,8 +84,8 @@
     Follower(SessionId, ToFollower),
     /// Close a session.
     Close(SessionId),
-    /// Ask the platform for the whole list of servers.
-    ReadServerList,
+    /// Ask the platform for the whole list of servers. Whatever reading is still under way is given up.
+    ReadServerList(ReadId),
     /// Nobody needs this process any longer: it may end now.
     Left,
     /// A line for the log: the event's name, and its key=value pairs.
--- a/control/src/lib.rs
+++ b/control/src/lib.rs
@@ -4,7 +4,8 @@
 //! writes and responses come out; the time is the steady clock's, told by whoever embeds it.
 //!
 //! Reading order: [`partition`] agrees on one partition among the voters, [`membership`] tells who votes and how a replica takes
-//! another's seat, [`state`] says what a request does to a partition, [`routers`] keeps the routers' sessions, [`feed`] what
+//! another's seat, [`state`] says what a request does to a partition, [`server_list`] when to read the
+//! platform's list, [`routers`] keeps the routers' sessions, [`feed`] what
 //! followers are sent, [`interface`] what goes in and comes out, and [`ControlPlane`] holds all of it together, one module for each
 //! concern.
 
@@ -18,6 +19,7 @@
 pub mod partition;
 mod reconfiguration;
 pub mod routers;
+pub mod server_list;
 mod server_list_duty;
 pub mod state;
 pub mod stored;
--- a/control/src/partition.rs
+++ b/control/src/partition.rs
@@ -163,7 +163,9 @@
         }
     }
 
-    fn step_down_below(&mut self, epoch: Epoch, out: &mut Vec<Effect>) {
+    /// Another replica has this epoch: a lower one of this replica's has ended, and its next one is higher.
+    pub fn outdated(&mut self, epoch: Epoch, out: &mut Vec<Effect>) {
+        self.counter = self.counter.max(epoch.counter);
         if self.role.epoch().is_some_and(|own| own < epoch) {
             self.step_down(out);
         }
@@ -237,10 +239,7 @@
             }
             ConsensusMessage::Accepted { epoch, sequence } => self.on_accepted(from, epoch, sequence, out),
             ConsensusMessage::Confirmed { epoch, number } => self.on_confirmed(from, epoch, number, out),
-            ConsensusMessage::Reject { promised } => {
-                self.counter = self.counter.max(promised.counter);
-                self.step_down_below(promised, out);
-            }
+            ConsensusMessage::Reject { promised } => self.outdated(promised, out),
             ConsensusMessage::Commit { epoch, sequence } => self.on_commit(from, epoch, sequence, out),
             ConsensusMessage::Fetch { after } => {
                 if let Some(committed) = self.committed.clone().filter(|value| value.sequence > after) {
@@ -300,9 +299,8 @@
 
     /// Promises an epoch. Leadership under a lower one ends.
     fn promise(&mut self, epoch: Epoch, out: &mut Vec<Effect>) {
-        self.counter = self.counter.max(epoch.counter);
         self.state.promised = self.state.promised.max(epoch);
-        self.step_down_below(epoch, out);
+        self.outdated(epoch, out);
     }
 
     fn on_promise(
@@ -362,8 +360,7 @@
     /// Notes what is committed; an older value changes nothing. One under a higher epoch than this leader's tells that a quorum has
     /// promised that epoch: what is open here may have been committed by another leader, and would never be answered.
     fn commit(&mut self, value: AcceptedValue, out: &mut Vec<Effect>) {
-        self.counter = self.counter.max(value.epoch.counter);
-        self.step_down_below(value.epoch, out);
+        self.outdated(value.epoch, out);
         let newer = |known: &AcceptedValue| (value.sequence, value.epoch) > (known.sequence, known.epoch);
         if self.committed.as_ref().is_none_or(newer) {
             self.committed = Some(value.clone());
--- a/control/src/server_list_duty.rs
+++ b/control/src/server_list_duty.rs
@@ -4,17 +4,11 @@
 use ivyhatch_protocol::ids::{Epoch, NodeId, Part};
 use ivyhatch_protocol::peer::Peer;
 use ivyhatch_protocol::servers::List;
-use ivyhatch_protocol::{Nanos, SECOND};
 
 use crate::control_plane::ControlPlane;
-use crate::heartbeats::ASK_AGAIN;
 use crate::interface::Output;
+use crate::server_list::{self, Duty, ReadId};
 
-/// After so many failures in a row another node reads the platform's list, for so long.
-const FAILURES_MAX: u32 = 3;
-const LEFT_TO_OTHERS: Nanos = 5 * SECOND;
-/// Pause between two readings by a node that nobody has handed a list out to yet.
-const FIRST_READ_INTERVAL: Nanos = SECOND;
 /// The duty's name: it lies with the leader of the partition into which this falls.
 const DUTY: &str = "platform-list";
 
@@ -23,75 +17,97 @@
     Part::of(DUTY)
 }
 
-/// How far a node is with reading the list.
-#[derive(Debug, Default)]
-pub(crate) struct ListDuty {
-    epoch: Epoch,
-    reading: bool,
-    next: Nanos,
-    failures: u32,
-    left_to_others_until: Nanos,
-}
-
 impl ControlPlane {
     pub(crate) fn can_read_server_list(&self) -> bool {
-        self.now >= self.list_duty.left_to_others_until
+        self.list_reader.can_read(self.now)
     }
 
     fn has_list(&self) -> bool {
         self.list.position() != List::default().position()
     }
 
-    pub(crate) fn read_server_list(&mut self, out: &mut Vec<Output>) {
-        // Right after its start a node reads the list once by itself, for those who follow it: until there is a quorum nobody has
-        // the duty. Its epoch is the lowest of all, so that the first reader's list takes its place.
-        let reads_by_itself = !self.has_list() && self.list_duty.epoch == Epoch::default();
-        if reads_by_itself && !self.list_duty.reading && self.now >= self.list_duty.next {
-            self.list_duty.reading = true;
-            self.list_duty.next = self.now + FIRST_READ_INTERVAL;
-            out.push(Output::ReadServerList);
-        }
-        let Some(epoch) = self.leads(partition()).filter(|_| self.has_quorum()) else { return };
-        if epoch != self.list_duty.epoch {
-            let left_to_others_until = self.list_duty.left_to_others_until;
-            self.list_duty = ListDuty { epoch, left_to_others_until, ..ListDuty::default() };
-        }
-        if !self.list_duty.reading && self.now >= self.list_duty.next {
-            self.list_duty.reading = true;
-            self.list_duty.next = self.now + self.identity.list_every;
-            out.push(Output::ReadServerList);
+    /// What this node knows of the duty.
+    fn list_duty(&self) -> Duty {
+        let heartbeats = self.peers.values().filter_map(|peer| peer.heartbeat.as_ref());
+        let (known, number) = self.list.position();
+        let newest = heartbeats.map(|heartbeat| heartbeat.servers.0).chain([known]).max().unwrap_or_default();
+        Duty {
+            owned: self.leads(partition()).filter(|_| self.has_quorum()),
+            newest,
+            newest_in_touch: newest.node == self.identity.node || self.is_bidirectional(newest.node),
+            has_list: number > 0,
         }
     }
 
-    pub(crate) fn server_list_read(&mut self, servers: Vec<Server>, out: &mut Vec<Output>) {
-        self.list_duty.reading = false;
-        self.list_duty.failures = 0;
-        let epoch = self.list_duty.epoch;
-        if epoch == Epoch::default() && !self.has_list() && !servers.is_empty() {
-            self.list.read(self.now, epoch, servers);
-            self.log_list("first", out);
-            return;
-        }
-        if self.leads(partition()) != Some(epoch) {
-            return;
+    pub(crate) fn check_list_duty(&mut self, out: &mut Vec<Output>) {
+        let duty = self.list_duty();
+        self.drive_list_reader(server_list::Input::Checked(duty), None, out);
+    }
+
+    pub(crate) fn server_list_read(&mut self, read: ReadId, servers: Vec<Server>, out: &mut Vec<Output>) {
+        let duty = self.list_duty();
+        self.drive_list_reader(server_list::Input::Answered(read, duty), Some(servers), out);
+    }
+
+    pub(crate) fn server_list_failed(&mut self, read: ReadId, out: &mut Vec<Output>) {
+        self.drive_list_reader(server_list::Input::Failed(read), None, out);
+    }
+
+    fn drive_list_reader(
+        &mut self,
+        input: server_list::Input,
+        mut servers: Option<Vec<Server>>,
+        out: &mut Vec<Output>,
+    ) {
+        let mut outputs = Vec::new();
+        let before = self.list_reader.reads_under();
+        self.list_reader.handle(self.now, input, &mut outputs);
+        let after = self.list_reader.reads_under();
+        if after != before {
+            let pairs =
+                after.map_or_else(|| "reads=false".into(), |epoch| format!("reads=true epoch={epoch}"));
+            out.push(Output::Log("list_duty", pairs));
         }
-        if let Some(news) = self.list.read(self.now, epoch, servers) {
-            self.log_list("read", out);
-            let changed = news.upsert.iter().filter(|_| news.from.is_some());
-            out.extend(changed.map(|server| Output::Log("server", describe(server))));
-            self.send_to_all(&Peer::Servers(news), out);
+        for output in outputs {
+            match output {
+                server_list::Output::Read(read) => out.push(Output::ReadServerList(read)),
+                server_list::Output::Publish(epoch) => {
+                    self.publish_list(epoch, servers.take().unwrap_or_default(), out);
+                }
+                server_list::Output::Renew(newest) => self.renew_list_duty(newest, out),
+                server_list::Output::Failing(failures) => {
+                    out.push(Output::Log("list_failed", format!("in_a_row={failures}")));
+                }
+                // The others are told at once, so that one of them begins.
+                server_list::Output::Leave => self.heartbeat(out),
+            }
         }
     }
 
-    pub(crate) fn server_list_failed(&mut self, out: &mut Vec<Output>) {
-        self.list_duty.reading = false;
-        self.list_duty.failures += 1;
-        self.list_duty.next = self.list_duty.next.min(self.now + ASK_AGAIN);
-        out.push(Output::Log("list_failed", format!("in_a_row={}", self.list_duty.failures)));
-        if self.list_duty.failures >= FAILURES_MAX {
-            self.list_duty.failures = 0;
-            self.list_duty.left_to_others_until = self.now + LEFT_TO_OTHERS;
+    /// Another node has led the duty's partition since: this one steps down, and starts an election at its next tick.
+    fn renew_list_duty(&mut self, newest: Epoch, out: &mut Vec<Output>) {
+        out.push(Output::Log("list_duty", format!("reads=false deposed_by={newest}")));
+        let Some(duty) = self.partitions.get_mut(&partition()) else { return };
+        let mut effects = Vec::new();
+        duty.outdated(newest, &mut effects);
+        self.carry_out(partition(), effects, out);
+    }
+
+    /// The platform has handed its list to this node, the reader under this epoch.
+    fn publish_list(&mut self, epoch: Epoch, servers: Vec<Server>, out: &mut Vec<Output>) {
+        if epoch == Epoch::default() {
+            // For those who follow this node: until there is a quorum nobody has the duty.
+            if !servers.is_empty() {
+                self.list.read(self.now, epoch, servers);
+                self.log_list("first", out);
+            }
+            return;
         }
+        let Some(news) = self.list.read(self.now, epoch, servers) else { return };
+        self.log_list("read", out);
+        let changed = news.upsert.iter().filter(|_| news.from.is_some());
+        out.extend(changed.map(|server| Output::Log("server", describe(server))));
+        self.send_to_all(&Peer::Servers(news), out);
     }
 
     pub(crate) fn on_server_news(&mut self, from: NodeId, news: Servers, out: &mut Vec<Output>) {
--- a/system/src/control.rs
+++ b/system/src/control.rs
@@ -8,6 +8,7 @@
 
 use hyper::header::IF_MATCH;
 use hyper::{Method, StatusCode};
+use ivyhatch_control::server_list::ReadId;
 use ivyhatch_control::stored::Stored;
 use ivyhatch_control::{ControlPlane, Identity, Input, Output, RequestId, SessionId, Token};
 use ivyhatch_protocol::MILLISECOND;
@@ -57,7 +58,7 @@
     requests: RefCell<BTreeMap<RequestId, oneshot::Sender<AdminResponse>>>,
     next: RefCell<u64>,
     disk: Option<Disk>,
-    list: mpsc::UnboundedSender<()>,
+    list: mpsc::UnboundedSender<ReadId>,
     left: Notify,
     settings: Settings,
 }
@@ -211,7 +212,7 @@
                 }
             }
             Output::Close(id) => drop(self.sessions.borrow_mut().remove(&id)),
-            Output::ReadServerList => drop(self.list.send(())),
+            Output::ReadServerList(read) => drop(self.list.send(read)),
             Output::Left => self.left.notify_one(),
             Output::Log(event, pairs) => log::info!("event={event} {pairs}"),
         }
@@ -315,20 +316,33 @@
         }
     }
 
-    async fn read_lists(self: Rc<Self>, mut wanted: mpsc::UnboundedReceiver<()>) {
+    /// Reads the platform's list whenever it is wanted. One that is wanted anew is read from its first page, on a connection of its
+    /// own: nothing of an earlier reading is taken for a part of it.
+    async fn read_lists(self: Rc<Self>, mut wanted: mpsc::UnboundedReceiver<ReadId>) {
         let mut cloud = Cloud::new(self.settings.ip, self.settings.cloud_api.address);
-        while wanted.recv().await.is_some() {
-            let read: Result<Vec<Server>, CloudError> = cloud.read().await;
-            match read {
-                Ok(servers) => self.hear(Input::ServerList(servers)),
-                Err(error) => {
-                    log::warn!("event=list_unread error={:?}", error.to_string());
-                    self.hear(Input::ServerListFailed);
+        let mut next = wanted.recv().await;
+        while let Some(read) = next {
+            tokio::select! {
+                biased;
+                newer = wanted.recv() => next = newer,
+                told = cloud.read() => {
+                    self.told_list(read, told);
+                    next = wanted.recv().await;
                 }
             }
         }
     }
 
+    fn told_list(self: &Rc<Self>, read: ReadId, told: Result<Vec<Server>, CloudError>) {
+        match told {
+            Ok(servers) => self.hear(Input::ServerList(read, servers)),
+            Err(error) => {
+                log::warn!("event=list_unread error={:?}", error.to_string());
+                self.hear(Input::ServerListFailed(read));
+            }
+        }
+    }
+
     /// Takes the seeds of a settings file that has changed.
     fn reread(self: &Rc<Self>) {
         match Settings::from_environment() {
--- a/world/src/run/machines.rs
+++ b/world/src/run/machines.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeSet;
 
+use ivyhatch_control::server_list::ReadId;
 use ivyhatch_control::state::State;
 use ivyhatch_control::{ControlPlane, Identity, Input, Output};
 use ivyhatch_protocol::feed::Server;
@@ -382,15 +383,15 @@
         (step..step + 4).map(server).collect()
     }
 
-    pub(super) fn listed(&mut self, machine: usize, life: u64) {
-        if !self.runs(machine, Some(life), || Happening::Listed(machine, life)) {
+    pub(super) fn listed(&mut self, machine: usize, life: u64, read: ReadId) {
+        if !self.runs(machine, Some(life), || Happening::Listed(machine, life, read)) {
             return;
         }
         let troubled = self.now / MILLISECOND < self.plan.faults_end_ms;
         let event = if troubled && self.below(20) == 0 {
-            Input::ServerListFailed
+            Input::ServerListFailed(read)
         } else {
-            Input::ServerList(self.servers())
+            Input::ServerList(read, self.servers())
         };
         self.hear(machine, event);
     }
@@ -438,10 +439,10 @@
             Output::Follower(id, message) => self.tell_follower(machine, id, message),
             Output::Close(id) => self.close(machine, id),
             Output::Left => self.left(machine),
-            Output::ReadServerList => {
+            Output::ReadServerList(read) => {
                 let life = self.machines[machine].life;
                 let after = (3 + self.below(30)) * MILLISECOND;
-                self.after(after, Happening::Listed(machine, life));
+                self.after(after, Happening::Listed(machine, life, read));
             }
             Output::Log(event, pairs) => self.note(|| format!("node {machine} event={event} {pairs}")),
         }
