Records survive each name and write kept or lost by itself, full disks and foreign records

Faults found by the model of a disk (records/tests/model) and by reading, each lost what had been confirmed: - A file that was opened was not synced, nor its folder: what a killed process had left unsynced was acted on, and a loss of power could take it back. The name of a new file was never synced. - A replacement whose folder sync failed after the rename left the log writing to the file that has no name any more. - A compaction that failed refused the write before it, which was durable; it was written again every 0.2 s, so that a full disk was filled further. With a large state (over 10 MB) old and new file did not fit on the disk together. - A block of more than 32 MB was written and not read again.

Change: files are made and replaced beside themselves and have a header that says how much was durable from the start; the state of the file under the name is a type; after a failed write the tail is cut before the next one; compaction has its own errors and bounds; what can't be used is renamed and kept, with a typed error, and the replica then has lost its disk, also on a first start. Files without a header are read.

--- /dev/null
+++ b/records/tests/compaction.rs
@@ -0,0 +1,80 @@
+//! How long a file gets over many writes, on a real disk.
+//!
+//! Figures: `cargo test --release -p ivyhatch-records --test compaction -- --nocapture`.
+
+use std::fs;
+use std::time::{Duration, Instant};
+
+use googletest::prelude::*;
+use ivyhatch_records::{CompactingLog, Log, MAX_COMPACTION_LENGTH, MIN_COMPACTION_LENGTH};
+
+const NAME: &str = "log";
+const DOCUMENT_LENGTH: usize = 50_000;
+/// What a block adds to its records, at most.
+const BLOCK_OVERHEAD: u64 = 64;
+/// Machines have a disk of this size.
+const DISK_LENGTH: u64 = 64 << 20;
+
+/// A document that is another one for each number, and does not shrink by itself.
+fn document(number: u32, length: usize) -> Vec<u8> {
+    (0..length as u32).map(|at| (at.wrapping_mul(31).wrapping_add(number * 7) >> 3) as u8).collect()
+}
+
+/// The longest that the file, and the folder at any moment, has been.
+#[derive(Debug, Default)]
+struct Longest {
+    file: u64,
+    /// While a file is replaced, both stand on the disk.
+    with_replacement: u64,
+}
+
+/// Writes this many documents, each in place of the one before.
+fn write_documents(folder: &std::path::Path, count: u32, length: usize) -> Longest {
+    let (log, _) = Log::open(folder, NAME).expect("opened");
+    let (mut log, mut longest) = (CompactingLog::new(log), Longest::default());
+    for number in 0..count {
+        let records = vec![document(number, length)];
+        let before = log.length();
+        let written = log.write(&records, || records.clone()).expect("written");
+        expect_that!(written.compaction_error, none());
+        let appended = before + length as u64 + BLOCK_OVERHEAD;
+        longest.file = longest.file.max(log.length());
+        if log.length() < appended - BLOCK_OVERHEAD {
+            longest.with_replacement = longest.with_replacement.max(appended + log.length());
+        }
+    }
+    longest
+}
+
+#[gtest]
+fn the_file_stays_short_over_thousands_of_changes() {
+    for count in [10, 300, 3_000] {
+        let folder = tempfile::tempdir().expect("a folder");
+        let longest = write_documents(folder.path(), count, DOCUMENT_LENGTH);
+        let bytes = fs::metadata(folder.path().join(NAME)).expect("the file").len();
+        let (mut read_times, mut found) = (Vec::new(), Vec::new());
+        for _ in 0..5 {
+            let begin = Instant::now();
+            found = Log::open(folder.path(), NAME).expect("sound").1;
+            read_times.push(begin.elapsed());
+        }
+        read_times.sort();
+        println!(
+            "{count} changes of {DOCUMENT_LENGTH} bytes: file {bytes} bytes, longest {}, opened in {:?} (middle of 5)",
+            longest.file, read_times[2]
+        );
+        expect_that!(found.last(), some(eq(&document(count - 1, DOCUMENT_LENGTH))));
+        expect_that!(longest.file, le(MIN_COMPACTION_LENGTH + DOCUMENT_LENGTH as u64 + BLOCK_OVERHEAD));
+        expect_that!(read_times[2], lt(Duration::from_secs(2)));
+    }
+}
+
+#[gtest]
+fn the_largest_state_fits_on_the_disk_with_its_replacement() {
+    // The largest body of an operator's call.
+    let length = 16 << 20;
+    let folder = tempfile::tempdir().expect("a folder");
+    let longest = write_documents(folder.path(), 6, length);
+    expect_that!(longest.with_replacement, gt(MAX_COMPACTION_LENGTH));
+    expect_that!(longest.with_replacement, lt(DISK_LENGTH));
+}
--- a/records/tests/log.rs
+++ b/records/tests/log.rs
@@ -52,7 +52,7 @@
 }
 
 #[gtest]
-fn a_damaged_middle_is_told_and_never_skipped() {
+fn damage_before_the_last_block_sets_the_file_aside() {
     let folder = tempfile::tempdir().expect("a folder");
     let bytes = three(folder.path());
     let last = bytes.len() - (12 + 4 + "three".len());
@@ -60,11 +60,116 @@
         let mut harmed = bytes.clone();
         harmed[at] ^= 0x10;
         fs::write(folder.path().join("log"), &harmed).expect("harmed");
-        expect_that!(reopened(folder.path()), err(matches_pattern!(RecordsError::Damaged { .. })), "at {at}");
+        let Err(RecordsError::Damaged { set_aside, .. }) = reopened(folder.path()) else {
+            fail!("not found at {at}").and_log_failure();
+            continue;
+        };
         // The next start has an empty file, and the damaged one stands beside it.
         expect_that!(reopened(folder.path()), ok(is_empty()));
-        expect_that!(fs::read(folder.path().join("log.damaged")).expect("set aside"), eq(&harmed));
+        expect_that!(fs::read(set_aside).expect("set aside"), eq(&harmed));
+    }
+}
+
+#[gtest]
+fn damage_in_a_snapshot_is_no_torn_block() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let path = folder.path().join("log");
+    let (mut log, _) = Log::open(folder.path(), "log").expect("a new file");
+    log.rewrite(&[record("all"), record("of it")]).expect("rewritten");
+    drop(log);
+    let bytes = fs::read(&path).expect("the file");
+    for at in 0..bytes.len() {
+        let mut harmed = bytes.clone();
+        harmed[at] ^= 0x01;
+        fs::write(&path, &harmed).expect("harmed");
+        expect_that!(reopened(folder.path()), err(matches_pattern!(RecordsError::Damaged { .. })), "at {at}");
+        fs::write(&path, &bytes[..at]).expect("cut off");
+        if at == 0 {
+            // An empty file is one that was made and never written.
+            expect_that!(reopened(folder.path()), ok(is_empty()));
+        } else {
+            expect_that!(
+                reopened(folder.path()),
+                err(matches_pattern!(RecordsError::Damaged { .. })),
+                "cut at {at}"
+            );
+        }
+    }
+}
+
+#[gtest]
+fn files_that_are_set_aside_are_kept_up_to_a_bound() {
+    let folder = tempfile::tempdir().expect("a folder");
+    for number in 0..6_u8 {
+        fs::write(folder.path().join("log"), [number; 20]).expect("no file of records");
+        let error = reopened(folder.path()).expect_err("refused");
+        expect_true!(error.is_set_aside());
+        expect_that!(error, displays_as(contains_substring("log.set-aside-")));
     }
+    let kept: Vec<u8> = (1..=4)
+        .map(|number| fs::read(folder.path().join(format!("log.set-aside-{number}"))).expect("kept")[0])
+        .collect();
+    expect_that!(kept, eq(&vec![0, 1, 2, 5]));
+    expect_false!(folder.path().join("log.set-aside-5").exists());
+}
+
+#[gtest]
+fn a_file_of_a_later_format_is_set_aside_with_both_versions_named() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let later = {
+        let mut bytes = three(folder.path())[..12].to_vec();
+        bytes[4] = 99;
+        let sum = ivyhatch_protocol::frame::checksum(&bytes);
+        bytes.extend_from_slice(&sum.to_le_bytes());
+        bytes.extend_from_slice(b"whatever comes then");
+        bytes
+    };
+    fs::write(folder.path().join("log"), &later).expect("written");
+    let error = reopened(folder.path()).expect_err("refused");
+    expect_that!(error, displays_as(contains_substring("file format 99, this release reads 2")));
+    expect_that!(error, matches_pattern!(RecordsError::UnsupportedFormat { version: eq(&99), .. }));
+    expect_that!(fs::read(folder.path().join("log.set-aside-1")).expect("kept"), eq(&later));
+}
+
+#[gtest]
+fn a_file_without_a_header_is_read_and_gets_one_when_it_is_replaced() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let path = folder.path().join("log");
+    let without_header = three(folder.path())[16..].to_vec();
+    fs::write(&path, &without_header).expect("written");
+    let (mut log, found) = Log::open(folder.path(), "log").expect("sound");
+    expect_that!(found.len(), eq(4));
+    log.append(&[record("four")]).expect("written");
+    expect_that!(reopened(folder.path()).expect("sound").len(), eq(5));
+    log.rewrite(&found).expect("rewritten");
+    expect_that!(fs::read(&path).expect("the file")[..4], eq(b"IVHR"));
+    expect_that!(reopened(folder.path()), ok(eq(&found)));
+    // Its first block was durable before anything was said: what is left of one is damage.
+    fs::write(&path, &without_header[..15]).expect("cut off");
+    expect_that!(reopened(folder.path()), err(matches_pattern!(RecordsError::Damaged { .. })));
+}
+
+#[gtest]
+fn rejected_records_are_set_aside_with_their_place() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let bytes = three(folder.path());
+    let (log, _) = Log::open(folder.path(), "log").expect("sound");
+    let error = log.reject(2, "unknown tag 9".to_owned());
+    expect_true!(error.is_set_aside());
+    expect_that!(error, displays_as(contains_substring("record 2 can't be decoded (unknown tag 9)")));
+    expect_that!(reopened(folder.path()), ok(is_empty()));
+    expect_that!(fs::read(folder.path().join("log.set-aside-1")).expect("kept"), eq(&bytes));
+}
+
+#[gtest]
+fn a_write_that_no_block_takes_is_refused_and_harms_nothing() {
+    let folder = tempfile::tempdir().expect("a folder");
+    three(folder.path());
+    let (mut log, found) = Log::open(folder.path(), "log").expect("sound");
+    let huge = vec![vec![0_u8; 33 << 20]];
+    expect_that!(log.append(&huge), err(matches_pattern!(RecordsError::TooLong { .. })));
+    expect_that!(log.rewrite(&huge), err(matches_pattern!(RecordsError::TooLong { .. })));
+    expect_that!(reopened(folder.path()), ok(eq(&found)));
 }
 
 #[gtest]
@@ -88,4 +193,5 @@
     let (mut log, _) = Log::open(folder.path(), "log").expect("sound");
     log.rewrite(&[record("all")]).expect("rewritten");
     expect_that!(reopened(folder.path()), ok(eq(&[record("all")].to_vec())));
+    expect_false!(folder.path().join("log.new").exists());
 }
--- /dev/null
+++ b/records/tests/model/mod.rs
@@ -0,0 +1,330 @@
+//! A model of a disk: what a process sees, and what a loss of power leaves, name by name and write by write. Any operation can
+//! be made to fail, or to be the last one of the process.
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::io::{self, ErrorKind};
+use std::path::PathBuf;
+use std::rc::Rc;
+
+use ivyhatch_records::Storage;
+
+/// A change of a file that is not synced yet.
+#[derive(Clone, Debug)]
+enum Pending {
+    Write { offset: usize, bytes: Vec<u8> },
+    Truncate { length: usize },
+}
+
+impl Pending {
+    fn apply(&self, bytes: &mut Vec<u8>) {
+        match self {
+            Self::Write { offset, bytes: written } => {
+                let end = offset + written.len();
+                if bytes.len() < end {
+                    bytes.resize(end, 0);
+                }
+                bytes[*offset..end].copy_from_slice(written);
+            }
+            Self::Truncate { length } => bytes.truncate(*length),
+        }
+    }
+
+    /// What a loss of power may leave of it: nothing, all, its first half, or its length with a hole in the second half.
+    fn outcomes(&self) -> Vec<Option<Pending>> {
+        let mut outcomes = vec![None, Some(self.clone())];
+        if let Self::Write { offset, bytes } = self {
+            let half = bytes.len() / 2;
+            outcomes.push(Some(Self::Write { offset: *offset, bytes: bytes[..half].to_vec() }));
+            let mut hole = bytes.clone();
+            hole[half..].fill(0);
+            outcomes.push(Some(Self::Write { offset: *offset, bytes: hole }));
+        }
+        outcomes
+    }
+}
+
+#[derive(Clone, Debug, Default)]
+struct Inode {
+    durable: Vec<u8>,
+    pending: Vec<Pending>,
+}
+
+impl Inode {
+    fn bytes(&self) -> Vec<u8> {
+        let mut bytes = self.durable.clone();
+        self.pending.iter().for_each(|pending| pending.apply(&mut bytes));
+        bytes
+    }
+
+    /// All contents that a loss of power may leave.
+    fn after_power_loss(&self) -> Vec<Vec<u8>> {
+        let mut contents = vec![self.durable.clone()];
+        for pending in &self.pending {
+            let outcomes = pending.outcomes();
+            contents = contents
+                .into_iter()
+                .flat_map(|bytes| {
+                    outcomes.iter().map(move |outcome| {
+                        let mut bytes = bytes.clone();
+                        if let Some(outcome) = outcome {
+                            outcome.apply(&mut bytes);
+                        }
+                        bytes
+                    })
+                })
+                .collect();
+        }
+        contents.sort();
+        contents.dedup();
+        contents
+    }
+}
+
+type Names = BTreeMap<String, usize>;
+
+#[derive(Clone, Debug, Default)]
+struct Files {
+    inodes: Vec<Inode>,
+    names: Names,
+    durable_names: Names,
+}
+
+impl Files {
+    fn used(&self) -> usize {
+        self.names.values().map(|inode| self.inodes[*inode].bytes().len()).sum()
+    }
+
+    /// All sets of names that a loss of power may leave: each changed name by itself is as it was or as it is.
+    fn names_after_power_loss(&self) -> Vec<Names> {
+        let mut all = vec![Names::new()];
+        let keys = self.names.keys().chain(self.durable_names.keys());
+        for name in keys.collect::<std::collections::BTreeSet<_>>() {
+            let mut choices = vec![self.names.get(name).copied(), self.durable_names.get(name).copied()];
+            choices.dedup();
+            all = all
+                .into_iter()
+                .flat_map(|names| {
+                    choices.iter().map(move |choice| {
+                        let mut names = names.clone();
+                        if let Some(inode) = choice {
+                            names.insert(name.clone(), *inode);
+                        }
+                        names
+                    })
+                })
+                .collect();
+        }
+        all
+    }
+}
+
+/// What is to go wrong.
+#[derive(Clone, Copy, Debug)]
+pub enum Trouble {
+    /// The process ends in the midst of this operation, counted from 0.
+    CrashAt(usize),
+    /// This operation fails once, after it was done in part.
+    FailAt(usize, ErrorKind),
+    /// These operations fail, from the first up to before the second.
+    FailFrom(usize, usize, ErrorKind),
+}
+
+#[derive(Debug, Default)]
+struct Model {
+    files: RefCell<Files>,
+    operations: Cell<usize>,
+    trouble: Cell<Option<Trouble>>,
+    capacity: Cell<Option<usize>>,
+}
+
+/// A disk in memory. Copies are the same disk.
+#[derive(Clone, Debug, Default)]
+pub struct ModelDisk(Rc<Model>);
+
+/// What an operation may do.
+enum Permit {
+    Whole,
+    /// Half of it, and then it fails.
+    Half(ErrorKind),
+    None(ErrorKind),
+}
+
+impl ModelDisk {
+    fn of(files: Files) -> Self {
+        Self(Rc::new(Model { files: RefCell::new(files), ..Model::default() }))
+    }
+
+    pub fn with_trouble(trouble: Trouble) -> Self {
+        let disk = Self::default();
+        disk.0.trouble.set(Some(trouble));
+        disk
+    }
+
+    /// Files may have so many bytes together.
+    pub fn set_capacity(&self, bytes: Option<usize>) {
+        self.0.capacity.set(bytes);
+    }
+
+    pub fn operations(&self) -> usize {
+        self.0.operations.get()
+    }
+
+    pub fn used(&self) -> usize {
+        self.0.files.borrow().used()
+    }
+
+    pub fn file_names(&self) -> Vec<String> {
+        self.0.files.borrow().names.keys().cloned().collect()
+    }
+
+    /// The disk as the next process finds it after this one was killed.
+    pub fn after_kill(&self) -> Self {
+        Self::of(self.0.files.borrow().clone())
+    }
+
+    /// All disks that a loss of power may leave.
+    pub fn after_power_loss(&self) -> Vec<Self> {
+        let files = self.0.files.borrow();
+        let contents: Vec<Vec<Vec<u8>>> = files.inodes.iter().map(Inode::after_power_loss).collect();
+        let mut disks = Vec::new();
+        for names in files.names_after_power_loss() {
+            let mut inodes: Vec<Vec<Inode>> = vec![Vec::new()];
+            for (number, choices) in contents.iter().enumerate() {
+                // A file without a name makes no difference.
+                let count = if names.values().any(|inode| *inode == number) { choices.len() } else { 1 };
+                inodes = inodes
+                    .into_iter()
+                    .flat_map(|made| {
+                        choices[..count].iter().map(move |durable| {
+                            let mut made = made.clone();
+                            made.push(Inode { durable: durable.clone(), pending: Vec::new() });
+                            made
+                        })
+                    })
+                    .collect();
+            }
+            for inodes in inodes {
+                let durable_names = names.clone();
+                disks.push(Self::of(Files { inodes, names: names.clone(), durable_names }));
+            }
+        }
+        disks
+    }
+
+    fn permit(&self) -> Permit {
+        let number = self.0.operations.get();
+        self.0.operations.set(number + 1);
+        match self.0.trouble.get() {
+            Some(Trouble::CrashAt(at)) if number == at => Permit::Half(ErrorKind::Other),
+            Some(Trouble::CrashAt(at)) if number > at => Permit::None(ErrorKind::Other),
+            Some(Trouble::FailAt(at, kind)) if number == at => Permit::Half(kind),
+            Some(Trouble::FailFrom(from, to, kind)) if (from..to).contains(&number) => Permit::None(kind),
+            _ => Permit::Whole,
+        }
+    }
+
+    /// Does an operation that is done whole or not at all. One that fails has been done all the same, as may be.
+    fn operate<T>(&self, operation: impl FnOnce(&mut Files) -> T) -> io::Result<T> {
+        match self.permit() {
+            Permit::Whole => Ok(operation(&mut self.0.files.borrow_mut())),
+            Permit::Half(kind) => {
+                operation(&mut self.0.files.borrow_mut());
+                Err(kind.into())
+            }
+            Permit::None(kind) => Err(kind.into()),
+        }
+    }
+
+    /// Does an operation that has not happened where it fails.
+    fn operate_or_not<T>(&self, operation: impl FnOnce(&mut Files) -> T) -> io::Result<T> {
+        match self.permit() {
+            Permit::Whole => Ok(operation(&mut self.0.files.borrow_mut())),
+            Permit::Half(kind) | Permit::None(kind) => Err(kind.into()),
+        }
+    }
+}
+
+impl Storage for ModelDisk {
+    type File = usize;
+
+    fn path(&self, name: &str) -> PathBuf {
+        PathBuf::from("/model").join(name)
+    }
+
+    fn create_folder(&self) -> io::Result<()> {
+        Ok(())
+    }
+
+    fn open(&self, name: &str) -> io::Result<Option<usize>> {
+        self.operate_or_not(|files| files.names.get(name).copied())
+    }
+
+    fn create(&self, name: &str) -> io::Result<usize> {
+        self.operate(|files| {
+            files.inodes.push(Inode::default());
+            let inode = files.inodes.len() - 1;
+            files.names.insert(name.to_owned(), inode);
+            inode
+        })
+    }
+
+    fn read(&self, file: &mut usize) -> io::Result<Vec<u8>> {
+        self.operate_or_not(|files| files.inodes[*file].bytes())
+    }
+
+    fn write(&self, file: &mut usize, offset: u64, bytes: &[u8]) -> io::Result<()> {
+        let offset = offset as usize;
+        let written = match self.permit() {
+            Permit::Whole => Ok(bytes.len()),
+            Permit::Half(kind) => Err((bytes.len() / 2, kind)),
+            Permit::None(kind) => Err((0, kind)),
+        };
+        let mut files = self.0.files.borrow_mut();
+        let room = self.0.capacity.get().map_or(usize::MAX, |capacity| capacity.saturating_sub(files.used()));
+        let (length, result) = match written {
+            Ok(length) if length > room => (room, Err(ErrorKind::StorageFull.into())),
+            Ok(length) => (length, Ok(())),
+            Err((length, kind)) => (length.min(room), Err(kind.into())),
+        };
+        if length > 0 {
+            files.inodes[*file].pending.push(Pending::Write { offset, bytes: bytes[..length].to_vec() });
+        }
+        result
+    }
+
+    fn truncate(&self, file: &mut usize, length: u64) -> io::Result<()> {
+        let length = length as usize;
+        self.operate(|files| files.inodes[*file].pending.push(Pending::Truncate { length }))
+    }
+
+    fn sync(&self, file: &mut usize) -> io::Result<()> {
+        self.operate_or_not(|files| {
+            let inode = &mut files.inodes[*file];
+            inode.durable = inode.bytes();
+            inode.pending.clear();
+        })
+    }
+
+    fn rename(&self, from: &str, to: &str) -> io::Result<()> {
+        self.operate(|files| {
+            if let Some(inode) = files.names.remove(from) {
+                files.names.insert(to.to_owned(), inode);
+            }
+        })
+    }
+
+    fn remove(&self, name: &str) -> io::Result<()> {
+        self.operate(|files| {
+            files.names.remove(name);
+        })
+    }
+
+    fn exists(&self, name: &str) -> io::Result<bool> {
+        self.operate_or_not(|files| files.names.contains_key(name))
+    }
+
+    fn sync_folder(&self) -> io::Result<()> {
+        self.operate_or_not(|files| files.durable_names = files.names.clone())
+    }
+}
--- a/system/src/control.rs
+++ b/system/src/control.rs
@@ -67,15 +67,17 @@
     let bind = |at: SocketAddrV4| link::listen(at).map_err(|source| RoleError::Listen { at, source });
     let (control, directory) = (bind(control_at)?, bind(directory_at)?);
     let (peers, followers) = (bind(inner(0))?, bind(inner(1))?);
-    let (disk, stored, stored_up_to) = match &settings.data_dir {
+    let (disk, stored, stored_up_to, history_lost) = match &settings.data_dir {
         Some(folder) => {
-            let (disk, stored, told) = Disk::start(folder)?;
-            (Some(disk), stored, Some(told))
+            let opened = Disk::start(folder)?;
+            (Some(opened.disk), opened.stored, Some(opened.written), opened.history_lost)
         }
-        None => (None, Stored::default(), None),
+        None => (None, Stored::default(), None, false),
     };
     let (list, wanted) = mpsc::unbounded_channel();
-    let identity = identity(&settings, disk.is_some());
+    let mut identity = identity(&settings, disk.is_some());
+    // Whoever had a file has a past, whatever the settings say.
+    identity.first_start &= !history_lost;
     log::info!(
         "event=starts role=control node={} zone={} life={:x}",
         identity.me,
