Blocks of records are numbered; any harm to a file gives a typed error or a beginning of it

Cause: a block that stands in the file twice, or in another place, was read as a later one; an older accepted value would have taken the place of a newer one.

Change: each block carries its number in the file, covered by its checksum; files of the format before are replaced as they are opened. Truncation at every byte and each way of doubling a block have tests of their own.

--- a/records/src/log.rs
+++ b/records/src/log.rs
@@ -30,6 +30,8 @@
     state: State<S::File>,
     /// Bytes that are sound and durable.
     length: u64,
+    /// The blocks in them.
+    block_count: u32,
 }
 
 /// A log, and the records that it held when it was opened, in order.
@@ -58,20 +60,28 @@
         // A replacement that was never put in place holds nothing that counts, and does no harm where it can't be removed.
         let _ = storage.remove(&replacement_name(name));
         let found = storage.open(name).map_err(failed)?;
-        let Some(mut file) = found else { return Self::create(storage, name) };
+        let Some(mut file) = found else {
+            return Ok((Self::create_with(storage, name, &[])?, Vec::new()));
+        };
         let bytes = storage.read(&mut file).map_err(failed)?;
         match block::decode_file(&bytes) {
-            Contents::Sound { .. } if bytes.is_empty() => Self::create(storage, name),
-            Contents::Sound { records, sound_length } => {
-                let length = sound_length as u64;
-                if sound_length < bytes.len() {
+            Contents::Sound(_) if bytes.is_empty() => {
+                Ok((Self::create_with(storage, name, &[])?, Vec::new()))
+            }
+            Contents::Sound(sound) => {
+                let length = sound.length as u64;
+                if sound.length < bytes.len() {
                     storage.truncate(&mut file, length).map_err(failed)?;
                 }
                 // A process that was killed may have left bytes or a name that were not synced yet. Whoever has read them acts
                 // on them, so a later loss of power must not take them back.
                 storage.sync(&mut file).and_then(|()| storage.sync_folder()).map_err(failed)?;
-                let state = State::Ready(file);
-                Ok((Self { storage, name: name.to_owned(), state, length }, records))
+                let (state, block_count) = (State::Ready(file), sound.block_count);
+                Ok((Self { storage, name: name.to_owned(), state, length, block_count }, sound.records))
+            }
+            Contents::SoundWithoutNumbers(sound) => {
+                let log = Self::create_with(storage, name, &sound.records)?;
+                Ok((log, sound.records))
             }
             Contents::Damaged { offset } => {
                 let path = storage.path(name);
@@ -90,12 +100,13 @@
         }
     }
 
-    /// An empty file. It gets its name only when its header is durable, so that a file without a sound header is damaged and
-    /// not just young.
-    fn create(storage: S, name: &str) -> Result<Opened<S>, RecordsError> {
-        let mut log = Self { storage, name: name.to_owned(), state: State::NameUnknown, length: 0 };
-        log.rewrite(&[])?;
-        Ok((log, Vec::new()))
+    /// A new file with these records. It gets its name only when it is durable, so that a file without a sound header is
+    /// damaged and not just young.
+    fn create_with(storage: S, name: &str, records: &[Vec<u8>]) -> Result<Self, RecordsError> {
+        let state = State::NameUnknown;
+        let mut log = Self { storage, name: name.to_owned(), state, length: 0, block_count: 0 };
+        log.rewrite(records)?;
+        Ok(log)
     }
 
     /// The length of the file in bytes, as far as it is sound and durable.
@@ -111,7 +122,7 @@
     pub fn append(&mut self, records: &[Vec<u8>]) -> Result<(), RecordsError> {
         self.check_length(records)?;
         let mut bytes = Vec::new();
-        block::encode_block(records, &mut bytes);
+        block::encode_block(records, self.block_count, &mut bytes);
         self.append_bytes(&bytes).map_err(|source| self.io_error(source))
     }
 
@@ -130,6 +141,7 @@
         }
         self.state = State::Ready(file);
         self.length += bytes.len() as u64;
+        self.block_count += 1;
         Ok(())
     }
 
@@ -151,7 +163,10 @@
     /// Where the disk refuses, or there are too many records for one block. The present file then stays valid.
     pub fn rewrite(&mut self, records: &[Vec<u8>]) -> Result<(), RecordsError> {
         self.check_length(records)?;
-        self.replace_with(&block::encode_file(records)).map_err(|source| self.io_error(source))
+        let (bytes, block_count) = block::encode_file(records);
+        self.replace_with(&bytes).map_err(|source| self.io_error(source))?;
+        self.block_count = block_count;
+        Ok(())
     }
 
     fn replace_with(&mut self, bytes: &[u8]) -> io::Result<()> {
--- a/records/tests/log.rs
+++ b/records/tests/log.rs
@@ -6,6 +6,10 @@
 use googletest::prelude::*;
 use ivyhatch_records::{Log, RecordsError};
 
+const FILE_HEADER: usize = 16;
+const BLOCK_HEADER: usize = 16;
+const RECORD_HEADER: usize = 4;
+
 fn record(text: &str) -> Vec<u8> {
     text.as_bytes().to_vec()
 }
@@ -35,7 +39,7 @@
 fn a_last_block_that_is_torn_anywhere_is_cut_off_and_written_over() {
     let folder = tempfile::tempdir().expect("a folder");
     let bytes = three(folder.path());
-    let last = bytes.len() - (12 + 4 + "three".len());
+    let last = bytes.len() - (BLOCK_HEADER + RECORD_HEADER + "three".len());
     for cut in last..bytes.len() {
         // Written in part, and written in full length with a hole in it.
         let mut hole = bytes.clone();
@@ -55,7 +59,7 @@
 fn damage_before_the_last_block_sets_the_file_aside() {
     let folder = tempfile::tempdir().expect("a folder");
     let bytes = three(folder.path());
-    let last = bytes.len() - (12 + 4 + "three".len());
+    let last = bytes.len() - (BLOCK_HEADER + RECORD_HEADER + "three".len());
     for at in 0..last {
         let mut harmed = bytes.clone();
         harmed[at] ^= 0x10;
@@ -131,22 +135,59 @@
     expect_that!(fs::read(folder.path().join("log.set-aside-1")).expect("kept"), eq(&later));
 }
 
+/// A block as the format without a file header had it.
+fn block_without_number(record: &[u8]) -> Vec<u8> {
+    let mut body = (record.len() as u32).to_le_bytes().to_vec();
+    body.extend_from_slice(record);
+    let mut block = b"IVHL".to_vec();
+    block.extend_from_slice(&(body.len() as u32).to_le_bytes());
+    block.extend_from_slice(&ivyhatch_protocol::frame::checksum(&body).to_le_bytes());
+    block.extend_from_slice(&body);
+    block
+}
+
 #[gtest]
-fn a_file_without_a_header_is_read_and_gets_one_when_it_is_replaced() {
+fn a_file_without_a_header_is_read_and_replaced_by_one_with_it() {
     let folder = tempfile::tempdir().expect("a folder");
     let path = folder.path().join("log");
-    let without_header = three(folder.path())[16..].to_vec();
-    fs::write(&path, &without_header).expect("written");
-    let (mut log, found) = Log::open(folder.path(), "log").expect("sound");
-    expect_that!(found.len(), eq(4));
-    log.append(&[record("four")]).expect("written");
-    expect_that!(reopened(folder.path()).expect("sound").len(), eq(5));
-    log.rewrite(&found).expect("rewritten");
+    let all = ["one", "two"].map(record).to_vec();
+    let old: Vec<u8> = all.iter().flat_map(|record| block_without_number(record)).collect();
+    fs::write(&path, &old).expect("written");
+    expect_that!(reopened(folder.path()), ok(eq(&all)));
     expect_that!(fs::read(&path).expect("the file")[..4], eq(b"IVHR"));
-    expect_that!(reopened(folder.path()), ok(eq(&found)));
-    // Its first block was durable before anything was said: what is left of one is damage.
-    fs::write(&path, &without_header[..15]).expect("cut off");
+    expect_that!(reopened(folder.path()), ok(eq(&all)));
+    // Its last block may be torn. Its first one was durable before anything was said: what is left of one is damage.
+    fs::write(&path, &old[..old.len() - 1]).expect("cut off");
+    expect_that!(reopened(folder.path()), ok(eq(&all[..1].to_vec())));
+    fs::write(&path, &old[..15]).expect("cut off");
     expect_that!(reopened(folder.path()), err(matches_pattern!(RecordsError::Damaged { .. })));
+    expect_that!(fs::read(folder.path().join("log.set-aside-1")).expect("kept"), eq(&old[..15]));
+}
+
+#[gtest]
+fn a_block_that_stands_twice_or_in_another_place_is_damage() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let path = folder.path().join("log");
+    let bytes = three(folder.path());
+    let first_end = FILE_HEADER + BLOCK_HEADER + RECORD_HEADER + "one".len();
+    let last = bytes.len() - (BLOCK_HEADER + RECORD_HEADER + "three".len());
+    let (head, first, middle, end) =
+        (&bytes[..FILE_HEADER], &bytes[FILE_HEADER..first_end], &bytes[first_end..last], &bytes[last..]);
+    let harmed = [
+        [head, first, middle, end, first].concat(),
+        [head, first, middle, end, end].concat(),
+        [head, first, first, middle, end].concat(),
+        [head, middle, first, end].concat(),
+        [head, middle, end].concat(),
+    ];
+    for (number, harmed) in harmed.iter().enumerate() {
+        fs::write(&path, harmed).expect("harmed");
+        expect_that!(
+            reopened(folder.path()),
+            err(matches_pattern!(RecordsError::Damaged { .. })),
+            "case {number}"
+        );
+    }
 }
 
 #[gtest]
--- /dev/null
+++ b/records/tests/properties.rs
@@ -0,0 +1,155 @@
+//! Any records come back, and any bytes in their place give a typed error or records that were written.
+//!
+//! A longer run: `PROPTEST_CASES=100000 cargo test --release -p ivyhatch-records --test properties`.
+
+use std::fs;
+use std::path::Path;
+
+use googletest::prelude::*;
+use ivyhatch_records::{Log, RecordsError};
+use proptest::collection::vec;
+use proptest::prelude::*;
+use proptest::sample::Index;
+
+const NAME: &str = "log";
+
+type Records = Vec<Vec<u8>>;
+
+/// What becomes of a file.
+#[derive(Clone, Debug)]
+enum Harm {
+    Truncate(Index),
+    FlipBit(Index, u8),
+    Overwrite(Index, Vec<u8>),
+    Insert(Index, Vec<u8>),
+    Remove(Index, Index),
+    /// A range is written once more at another place.
+    Duplicate(Index, Index, Index),
+}
+
+impl Harm {
+    fn apply(&self, bytes: &mut Vec<u8>) {
+        if bytes.is_empty() {
+            return;
+        }
+        let range = |one: &Index, two: &Index| {
+            let (one, two) = (one.index(bytes.len()), two.index(bytes.len()));
+            one.min(two)..one.max(two)
+        };
+        match self {
+            Self::Truncate(at) => bytes.truncate(at.index(bytes.len())),
+            Self::FlipBit(at, bit) => {
+                let at = at.index(bytes.len());
+                bytes[at] ^= 1 << (bit % 8);
+            }
+            Self::Overwrite(at, with) => {
+                let at = at.index(bytes.len());
+                let end = bytes.len().min(at + with.len());
+                bytes[at..end].copy_from_slice(&with[..end - at]);
+            }
+            Self::Insert(at, more) => {
+                let at = at.index(bytes.len());
+                bytes.splice(at..at, more.iter().copied());
+            }
+            Self::Remove(one, two) => drop(bytes.drain(range(one, two))),
+            Self::Duplicate(one, two, at) => {
+                let copied = bytes[range(one, two)].to_vec();
+                let at = at.index(bytes.len());
+                bytes.splice(at..at, copied);
+            }
+        }
+    }
+}
+
+fn any_harm() -> impl Strategy<Value = Harm> {
+    let index = any::<Index>;
+    prop_oneof![
+        index().prop_map(Harm::Truncate),
+        (index(), any::<u8>()).prop_map(|(at, bit)| Harm::FlipBit(at, bit)),
+        (index(), vec(any::<u8>(), 1..40)).prop_map(|(at, with)| Harm::Overwrite(at, with)),
+        (index(), vec(any::<u8>(), 1..40)).prop_map(|(at, more)| Harm::Insert(at, more)),
+        (index(), index()).prop_map(|(one, two)| Harm::Remove(one, two)),
+        (index(), index(), index()).prop_map(|(one, two, at)| Harm::Duplicate(one, two, at)),
+    ]
+}
+
+/// Appended blocks, the first of them as a snapshot.
+fn any_blocks() -> impl Strategy<Value = Vec<Records>> {
+    vec(vec(vec(any::<u8>(), 0..60), 1..4), 1..6)
+}
+
+fn write_blocks(folder: &Path, blocks: &[Records]) -> Vec<u8> {
+    let (mut log, _) = Log::open(folder, NAME).expect("a new file");
+    for (number, block) in blocks.iter().enumerate() {
+        let written = if number == 0 { log.rewrite(block) } else { log.append(block) };
+        written.expect("written");
+    }
+    fs::read(folder.join(NAME)).expect("the file")
+}
+
+proptest! {
+    #[test]
+    fn records_come_back_in_order(blocks in any_blocks()) {
+        let folder = tempfile::tempdir().expect("a folder");
+        write_blocks(folder.path(), &blocks);
+        let (_, found) = Log::open(folder.path(), NAME).expect("sound");
+        prop_assert_eq!(found, blocks.concat());
+    }
+
+    #[test]
+    fn a_harmed_file_gives_a_typed_error_or_a_beginning_of_what_was_written(
+        blocks in any_blocks(),
+        harms in vec(any_harm(), 1..4),
+    ) {
+        let folder = tempfile::tempdir().expect("a folder");
+        let mut bytes = write_blocks(folder.path(), &blocks);
+        harms.iter().for_each(|harm| harm.apply(&mut bytes));
+        fs::write(folder.path().join(NAME), &bytes).expect("harmed");
+        match Log::open(folder.path(), NAME) {
+            Ok((mut log, found)) => {
+                // An empty file is a new one; no other has lost its snapshot or a part of a block.
+                let beginnings = (0..=blocks.len()).map(|count| blocks[..count].concat());
+                let allowed: Vec<Records> = beginnings.skip(usize::from(!bytes.is_empty())).collect();
+                prop_assert!(allowed.contains(&found), "{found:?}");
+                log.append(&[b"more".to_vec()]).expect("goes on");
+                let (_, again) = Log::open(folder.path(), NAME).expect("sound");
+                prop_assert_eq!(again, [found, vec![b"more".to_vec()]].concat());
+            }
+            Err(RecordsError::Damaged { set_aside, .. } | RecordsError::UnsupportedFormat { set_aside, .. }) => {
+                prop_assert_eq!(fs::read(set_aside).expect("kept"), bytes);
+                let (_, found) = Log::open(folder.path(), NAME).expect("starts anew");
+                prop_assert!(found.is_empty());
+            }
+            Err(error) => prop_assert!(false, "{error}"),
+        }
+    }
+
+    #[test]
+    fn any_bytes_give_a_typed_error_or_records(bytes in vec(any::<u8>(), 0..300), magic in 0..3_usize) {
+        let folder = tempfile::tempdir().expect("a folder");
+        let bytes = [[&b""[..], b"IVHR", b"IVHL"][magic].to_vec(), bytes].concat();
+        fs::write(folder.path().join(NAME), &bytes).expect("written");
+        match Log::open(folder.path(), NAME) {
+            Ok((_, found)) => prop_assert!(found.iter().map(Vec::len).sum::<usize>() <= bytes.len()),
+            Err(error) => prop_assert!(error.is_set_aside(), "{error}"),
+        }
+    }
+}
+
+#[gtest]
+fn a_file_cut_off_at_any_byte_gives_whole_blocks_or_a_typed_error() {
+    let blocks: Vec<Records> = (1..5_u8).map(|number| vec![vec![number; 9], vec![number; 2]]).collect();
+    let folder = tempfile::tempdir().expect("a folder");
+    let bytes = write_blocks(folder.path(), &blocks);
+    for cut in 1..bytes.len() {
+        fs::write(folder.path().join(NAME), &bytes[..cut]).expect("cut off");
+        match Log::open(folder.path(), NAME) {
+            Ok((_, found)) => {
+                let allowed: Vec<Records> =
+                    (1..=blocks.len()).map(|count| blocks[..count].concat()).collect();
+                expect_that!(allowed, contains(eq(&found)), "cut at {cut}");
+            }
+            Err(error) => expect_that!(error, matches_pattern!(RecordsError::Damaged { .. }), "cut at {cut}"),
+        }
+    }
+}
