Property tests of every codec; a frame with bytes behind its message is refused

Cause: a frame whose body was longer than its message was taken, so that two releases could read one frame as different messages. Found by protocol/tests/properties.rs (a message with a byte behind it); the decoder now says how many bytes are too many.

The tests harm samples of each message, configurations, changes and settings, and feed any bytes: each gives a typed error or the same value again.

Not covered: pages of the platform's list (their parser is private to the reader of the list).

--- /dev/null
+++ b/cli/tests/system_records.rs
@@ -0,0 +1,80 @@
+//! Records files that can't be used: they are kept under another name, one line says what to do, and the replica gets its state from
+//! the others, also where the settings say that the system starts for the first time.
+
+mod system_common;
+
+use std::fs;
+use std::path::{Path, PathBuf};
+
+use googletest::prelude::*;
+use ivyhatch_records::Log;
+use serde_json::json;
+use system_common::{CORE, Process, Site, configuration};
+
+const NAME: &str = "control.records";
+const REPLICA: u8 = 13;
+
+/// Three control nodes with two changes, and the last of them without a process.
+fn stopped(site: &Site) -> Vec<Process> {
+    let mut core = site.core();
+    site.put(11, 0, &configuration(5, &[("a", json!({}))]));
+    site.put(11, 5, &configuration(6, &[("b", json!({}))]));
+    site.until_revision(REPLICA, 6);
+    core[2].kill();
+    core
+}
+
+fn file(site: &Site) -> PathBuf {
+    site.data(REPLICA).join(NAME)
+}
+
+/// Starts the replica with a file that it can't use.
+fn expect_recovery(site: &Site, core: &mut [Process], first_start: bool, says: &str) {
+    let unusable = fs::read(file(site)).expect("the file");
+    core[2] = site.control(REPLICA, &CORE, first_start);
+    site.until_revision(REPLICA, 6);
+    let log = core[2].logged();
+    let lines: Vec<&str> = log.lines().filter(|line| line.contains("event=records_set_aside")).collect();
+    assert_that!(lines, elements_are![contains_substring(says)]);
+    expect_that!(fs::read(set_aside(&file(site))).expect("kept"), eq(&unusable));
+    // It votes again, and its new file is sound.
+    core[0].kill();
+    site.put(12, 6, &configuration(7, &[("c", json!({}))]));
+    core[2].kill();
+    core[2] = site.control(REPLICA, &CORE, false);
+    site.until_revision(REPLICA, 7);
+    expect_that!(core[2].logged(), not(contains_substring("records_set_aside")));
+}
+
+fn set_aside(file: &Path) -> PathBuf {
+    file.with_file_name(format!("{NAME}.set-aside-1"))
+}
+
+#[gtest]
+fn a_replica_with_a_damaged_file_recovers_from_the_others() {
+    let site = Site::new();
+    let mut core = stopped(&site);
+    let mut bytes = fs::read(file(&site)).expect("the file");
+    bytes[30] ^= 4;
+    fs::write(file(&site), bytes).expect("damaged");
+    expect_recovery(&site, &mut core, false, "damaged at byte");
+}
+
+#[gtest]
+fn a_damaged_file_is_no_first_start() {
+    let site = Site::new();
+    let mut core = stopped(&site);
+    fs::write(file(&site), b"not a file of records").expect("damaged");
+    expect_recovery(&site, &mut core, true, "damaged at byte 0");
+}
+
+#[gtest]
+fn a_replica_with_a_record_of_another_release_recovers_from_the_others() {
+    let site = Site::new();
+    let mut core = stopped(&site);
+    {
+        let (mut log, _) = Log::open(&site.data(REPLICA), NAME).expect("a sound file");
+        log.append(&[vec![0xee; 9]]).expect("written");
+    }
+    expect_recovery(&site, &mut core, false, "install the release that wrote it");
+}
--- a/protocol/src/frame.rs
+++ b/protocol/src/frame.rs
@@ -114,7 +114,11 @@
         if checksum(body) != long(8) {
             return Err(FrameError::Damaged);
         }
-        let message = M::read_from_buffer(body).map_err(|error| FrameError::Unreadable(error.to_string()))?;
+        let (message, read) = M::read_with_length_from_buffer(body);
+        let message = message.map_err(|error| FrameError::Unreadable(error.to_string()))?;
+        if read < length {
+            return Err(FrameError::Unreadable(format!("{} bytes too long", length - read)));
+        }
         self.at += HEAD + length;
         if self.at > 64 * 1024 {
             self.bytes.drain(..self.at);
--- /dev/null
+++ b/protocol/tests/properties.rs
@@ -0,0 +1,404 @@
+//! Any bytes give a typed error or a message that is encoded and decoded again as the same one; nothing panics, and nothing
+//! takes more memory than its bytes warrant.
+//!
+//! A longer run: `PROPTEST_CASES=100000 cargo test --release -p ivyhatch-protocol --test properties`.
+
+use std::fmt::Debug;
+
+use googletest::prelude::*;
+use ivyhatch_protocol::configuration::{Change, Document, Item};
+use ivyhatch_protocol::feed::{
+    Evacuations, FromFollower, Position, Router, RouterState, Server, Servers, ToFollower,
+};
+use ivyhatch_protocol::frame::{Decoder, FrameError, LONGEST, VERSION, checksum, encode};
+use ivyhatch_protocol::ids::{Epoch, NodeId, Part};
+use ivyhatch_protocol::peer::Peer;
+use ivyhatch_protocol::settings::{Settings, SettingsError};
+use proptest::collection::vec;
+use proptest::prelude::*;
+use proptest::sample::Index;
+use speedy::{LittleEndian, Readable, Writable};
+
+const FRAME_HEADER: usize = 12;
+
+/// A frame around any body, sound by its header.
+fn framed(body: &[u8]) -> Vec<u8> {
+    let mut bytes = 0x6976_u16.to_le_bytes().to_vec();
+    bytes.extend_from_slice(&VERSION.to_le_bytes());
+    bytes.extend_from_slice(&(body.len() as u32).to_le_bytes());
+    bytes.extend_from_slice(&checksum(body).to_le_bytes());
+    bytes.extend_from_slice(body);
+    bytes
+}
+
+fn decoded<M: for<'a> Readable<'a, LittleEndian>>(bytes: &[u8]) -> Result<Option<M>, FrameError> {
+    let mut decoder = Decoder::default();
+    decoder.feed(bytes);
+    decoder.message()
+}
+
+/// Whatever decodes is encoded and decoded again as the same message.
+fn check_body<M>(body: &[u8]) -> std::result::Result<(), TestCaseError>
+where
+    M: for<'a> Readable<'a, LittleEndian> + Writable<LittleEndian> + PartialEq + Debug,
+{
+    match decoded::<M>(&framed(body)) {
+        Ok(Some(message)) => {
+            let again = decoded::<M>(&encode(&message));
+            prop_assert_eq!(again, Ok(Some(message)));
+        }
+        Ok(None) => prop_assert!(false, "a whole frame is no message and no error"),
+        Err(FrameError::Unreadable(_)) => {}
+        Err(error) => prop_assert!(false, "{error}"),
+    }
+    Ok(())
+}
+
+fn check_all_messages(body: &[u8]) -> std::result::Result<(), TestCaseError> {
+    check_body::<Peer>(body)?;
+    check_body::<FromFollower>(body)?;
+    check_body::<ToFollower>(body)?;
+    check_body::<Document>(body)?;
+    check_body::<Change>(body)
+}
+
+/// Bodies of messages of each kind, without their frames.
+fn sample_bodies() -> Vec<Vec<u8>> {
+    let epoch = Epoch { counter: 3, node: NodeId(0x7f00_0001), life: 99 };
+    let router = Router {
+        node: NodeId(7),
+        front: "10.0.0.7:8161".to_owned(),
+        zone: "za".to_owned(),
+        region: "ra".to_owned(),
+        state: RouterState::Ready,
+    };
+    let server = Server {
+        id: "s-1".to_owned(),
+        service: "lm".to_owned(),
+        address: "10.0.0.9:80".to_owned(),
+        zone: "za".to_owned(),
+        slots: 16,
+        draining: false,
+        cold_left_ms: 100,
+        remaining_ms: Some(5),
+    };
+    let servers = Servers { epoch, from: Some(1), to: 2, upsert: vec![server], gone: vec!["s-0".to_owned()] };
+    let document = Document::read(CONFIGURATION.as_bytes()).expect("a sound configuration");
+    let change = Document::default().change_to(&document);
+    let position =
+        Position { configuration: 4, evacuations: vec![(Part(2), 5), (Part(3), 6)], servers: (epoch, 7) };
+    let evacuations = Evacuations { part: Part(1), sequence: 2, zones: vec![("za".to_owned(), true, 3)] };
+    let frames = [
+        encode(&FromFollower::Follow { router: router.clone(), primary: true, position: position.clone() }),
+        encode(&FromFollower::Want { position }),
+        encode(&ToFollower::Whole { sequence: 4, document: document.clone() }),
+        encode(&ToFollower::Change { from: 3, to: 4, change: change.clone() }),
+        encode(&ToFollower::Evacuations(evacuations)),
+        encode(&ToFollower::Servers(servers.clone())),
+        encode(&Peer::Sessions(vec![router])),
+        encode(&Peer::Servers(servers)),
+        encode(&document),
+        encode(&change),
+    ];
+    frames.iter().map(|frame| frame[FRAME_HEADER..].to_vec()).collect()
+}
+
+/// What becomes of bytes.
+#[derive(Clone, Debug)]
+enum Harm {
+    Truncate(Index),
+    Byte(Index, u8),
+    /// Where a length may stand.
+    Word(Index, u32),
+    Insert(Index, Vec<u8>),
+    Duplicate(Index, Index),
+}
+
+impl Harm {
+    fn apply(&self, bytes: &mut Vec<u8>) {
+        if bytes.is_empty() {
+            return;
+        }
+        match self {
+            Self::Truncate(at) => bytes.truncate(at.index(bytes.len())),
+            Self::Byte(at, byte) => {
+                let at = at.index(bytes.len());
+                bytes[at] = *byte;
+            }
+            Self::Word(at, word) => {
+                let at = at.index(bytes.len());
+                let end = bytes.len().min(at + 4);
+                bytes[at..end].copy_from_slice(&word.to_le_bytes()[..end - at]);
+            }
+            Self::Insert(at, more) => {
+                let at = at.index(bytes.len());
+                bytes.splice(at..at, more.iter().copied());
+            }
+            Self::Duplicate(one, two) => {
+                let (one, two) = (one.index(bytes.len()), two.index(bytes.len()));
+                let copied = bytes[one.min(two)..one.max(two)].to_vec();
+                bytes.splice(one..one, copied);
+            }
+        }
+    }
+}
+
+fn any_harm() -> impl Strategy<Value = Harm> {
+    let index = any::<Index>;
+    let word = prop_oneof![0..64_u32, Just(u32::MAX), Just(u32::MAX / 2), Just(LONGEST as u32), any::<u32>()];
+    prop_oneof![
+        index().prop_map(Harm::Truncate),
+        (index(), any::<u8>()).prop_map(|(at, byte)| Harm::Byte(at, byte)),
+        (index(), word).prop_map(|(at, word)| Harm::Word(at, word)),
+        (index(), vec(any::<u8>(), 1..12)).prop_map(|(at, more)| Harm::Insert(at, more)),
+        (index(), index()).prop_map(|(one, two)| Harm::Duplicate(one, two)),
+    ]
+}
+
+/// Bytes of which many are small, as tags and lengths are.
+fn any_body() -> impl Strategy<Value = Vec<u8>> {
+    let byte = prop_oneof![3 => Just(0_u8), 3 => 0..12_u8, 1 => any::<u8>()];
+    vec(byte, 0..200)
+}
+
+fn harmed(mut bytes: Vec<u8>, harms: &[Harm]) -> Vec<u8> {
+    harms.iter().for_each(|harm| harm.apply(&mut bytes));
+    bytes
+}
+
+/// Feeds a stream in pieces, and takes messages until there are none or the stream is of no further use.
+fn drain<M: for<'a> Readable<'a, LittleEndian>>(bytes: &[u8], piece: usize) -> usize {
+    let (mut decoder, mut count) = (Decoder::default(), 0);
+    for piece in bytes.chunks(piece) {
+        decoder.feed(piece);
+        loop {
+            match decoder.message::<M>() {
+                Ok(Some(_)) => count += 1,
+                Ok(None) => break,
+                Err(_) => return count,
+            }
+        }
+    }
+    count
+}
+
+proptest! {
+    #[test]
+    fn any_body_is_an_error_or_the_same_message_again(body in any_body()) {
+        check_all_messages(&body)?;
+    }
+
+    #[test]
+    fn a_harmed_body_is_an_error_or_the_same_message_again(which in any::<Index>(), harms in vec(any_harm(), 0..4)) {
+        let bodies = sample_bodies();
+        check_all_messages(&harmed(bodies[which.index(bodies.len())].clone(), &harms))?;
+    }
+
+    #[test]
+    fn any_stream_ends_in_messages_or_a_typed_error(
+        stream in vec(any::<u8>(), 0..400),
+        is_marked in any::<bool>(),
+        piece in 1..50_usize,
+    ) {
+        let stream = if is_marked { [&0x6976_u16.to_le_bytes()[..], &stream].concat() } else { stream };
+        drain::<Peer>(&stream, piece);
+        drain::<FromFollower>(&stream, piece);
+        drain::<ToFollower>(&stream, piece);
+    }
+
+    #[test]
+    fn a_harmed_stream_gives_no_more_messages_than_were_sent(
+        which in any::<Index>(),
+        harms in vec(any_harm(), 1..4),
+        piece in 1..50_usize,
+    ) {
+        let bodies = sample_bodies();
+        let frame = framed(&bodies[which.index(bodies.len())]);
+        let longest = harmed([frame.clone(), frame.clone(), frame].concat(), &harms);
+        let count = drain::<Peer>(&longest, piece).max(drain::<ToFollower>(&longest, piece));
+        // Each duplication may add what the stream had before it.
+        prop_assert!(count <= 3 << harms.len(), "{count} messages");
+    }
+}
+
+const CONFIGURATION: &str = r#"{"revision":7,"routes":[
+    {"name":"a","host":"h.example","path_prefix":"/a/","route_kind":"streaming","timeout_ms":12000.0,"target_ms":800,
+     "priority":0,"split":[{"service":"s","weight":90}],"max_tries":2,"home_regions":["ra"],"unknown":{"kept":[1,"\u00e9"]}}],
+  "services":[{"name":"s","health_path":"/healthz","max_conns":640,"cold_s":3.0,"engine":{"slots":4,"cache_tokens":9}}],
+  "empty":[],"limits":{"max_header_bytes":16384}}"#;
+
+const CHANGE: &str = r#"{"revision":9,"upsert":{"routes":[{"name":"c","host":"h","path_prefix":"/c/","route_kind":"safe",
+    "timeout_ms":1,"service":"s"}],"tenants":[{"name":"x"}]},"remove":{"routes":["a","none"]},"limits":{"idle_timeout_ms":1}}"#;
+
+const SETTINGS: &str = r#"{"node_name":"n","role":"r","ip":"10.1.0.13","zone":"za","region":"ra","zones":{"za":"ra"},
+    "listen":{"front":"10.1.0.13:8161","control":"10.1.0.13:8166"},"inner_ports":[7720,7735],"seeds":["10.1.0.13:8166"],
+    "first_start":true,"limits":{"cpu_share":0.45,"memory_mb":260,"max_fds":4100,"disk_mb":64},"data_dir":"/data/x",
+    "tolerate":{"machines":1},"bounds":{"drain_ms":3000,"grace_s":8,"budget_ratio":0.2},
+    "cloud_api":{"address":"10.200.0.79:8169","rate_per_s":40.0,"lag_ms":800}}"#;
+
+/// A text that has much of JSON.
+fn any_json() -> impl Strategy<Value = Vec<u8>> {
+    let token = prop_oneof![
+        prop::sample::select(vec![
+            "{",
+            "}",
+            "[",
+            "]",
+            ",",
+            ":",
+            "\"",
+            "\\",
+            "null",
+            "true",
+            "-1",
+            "1e999",
+            "18446744073709551616",
+            "\"name\"",
+            "\"revision\"",
+            "\"routes\"",
+            "\"upsert\"",
+            "\"remove\"",
+            "\"services\"",
+            "7",
+            "\"\\ud800\"",
+        ])
+        .prop_map(|token| token.as_bytes().to_vec()),
+        vec(any::<u8>(), 1..3),
+    ];
+    vec(token, 0..40).prop_map(|tokens| tokens.concat())
+}
+
+fn check_configuration(body: &[u8]) -> std::result::Result<(), TestCaseError> {
+    if let Ok(document) = Document::read(body) {
+        prop_assert_eq!(Document::read(document.text().as_bytes()), Ok(document.clone()));
+        // Whether it makes sense is another question: it is told by a typed error.
+        let _ = document.checked(0);
+        let before = Document::read(CONFIGURATION.as_bytes()).expect("sound");
+        let mut there = before.with(&before.change_to(&document));
+        there.sections.retain(|name, items| !items.is_empty() || document.sections.contains_key(name));
+        prop_assert_eq!(names(&there), names(&document));
+        prop_assert_eq!(there.rest, document.rest);
+    }
+    if let Ok(change) = Change::read(body) {
+        let changed = Document::read(CONFIGURATION.as_bytes()).expect("sound").with(&change);
+        prop_assert_eq!(changed.revision, change.revision);
+        let _ = changed.checked(0);
+    }
+    Ok(())
+}
+
+/// Items by section, in an order of their own: a change keeps the order of those that were there.
+fn names(document: &Document) -> Vec<(String, Vec<(String, String)>)> {
+    let by_name = |items: &Vec<Item>| {
+        let mut pairs: Vec<_> = items.iter().map(|item| (item.name.clone(), item.json.clone())).collect();
+        pairs.sort();
+        pairs
+    };
+    document.sections.iter().map(|(section, items)| (section.clone(), by_name(items))).collect()
+}
+
+proptest! {
+    #[test]
+    fn any_text_is_a_configuration_that_is_given_back_or_a_typed_error(text in any_json()) {
+        check_configuration(&text)?;
+    }
+
+    #[test]
+    fn a_harmed_configuration_or_change_is_given_back_or_a_typed_error(
+        is_change in any::<bool>(),
+        harms in vec(any_harm(), 0..4),
+    ) {
+        let text = if is_change { CHANGE } else { CONFIGURATION };
+        check_configuration(&harmed(text.as_bytes().to_vec(), &harms))?;
+    }
+
+    #[test]
+    fn any_settings_are_read_or_a_typed_error(text in any_json(), harms in vec(any_harm(), 0..3)) {
+        for bytes in [text, harmed(SETTINGS.as_bytes().to_vec(), &harms)] {
+            let read = Settings::from_text(&String::from_utf8_lossy(&bytes), "node.json");
+            if let Err(error) = read {
+                prop_assert!(matches!(error, SettingsError::Malformed { .. }), "{error}");
+            }
+        }
+    }
+}
+
+#[gtest]
+fn the_samples_are_sound() {
+    for body in sample_bodies() {
+        let frame = framed(&body);
+        let is_known = matches!(decoded::<Peer>(&frame), Ok(Some(_)))
+            || matches!(decoded::<FromFollower>(&frame), Ok(Some(_)))
+            || matches!(decoded::<ToFollower>(&frame), Ok(Some(_)))
+            || matches!(decoded::<Document>(&frame), Ok(Some(_)))
+            || matches!(decoded::<Change>(&frame), Ok(Some(_)));
+        expect_true!(is_known);
+    }
+    expect_that!(Document::read(CONFIGURATION.as_bytes()).expect("sound").checked(0), ok(anything()));
+    expect_that!(Change::read(CHANGE.as_bytes()), ok(anything()));
+    expect_that!(Settings::from_text(SETTINGS, "node.json"), ok(anything()));
+}
+
+#[gtest]
+fn a_message_with_bytes_behind_it_is_no_message() {
+    let want = FromFollower::Want { position: Position::default() };
+    let mut body = encode(&want)[FRAME_HEADER..].to_vec();
+    expect_that!(decoded::<FromFollower>(&framed(&body)), ok(some(eq(&want))));
+    body.push(0);
+    expect_that!(decoded::<FromFollower>(&framed(&body)), err(matches_pattern!(FrameError::Unreadable(_))));
+}
+
+#[gtest]
+fn deep_and_endless_json_is_a_typed_error() {
+    const DEPTH: usize = 200_000;
+    for (open, close) in [("[", "]"), (r#"{"a":"#, "}")] {
+        let nested = format!("{}1{}", open.repeat(DEPTH), close.repeat(DEPTH));
+        for (before, after) in
+            [("", ""), (r#"{"revision":1,"x":"#, "}"), (r#"{"revision":1,"routes":[{"name":"a","x":"#, "}]}")]
+        {
+            let text = format!("{before}{nested}{after}");
+            if let Ok(document) = Document::read(text.as_bytes()) {
+                expect_that!(document.checked(0), err(anything()), "a document this deep is in force");
+            }
+            if let Ok(change) = Change::read(text.as_bytes()) {
+                expect_that!(Document::default().with(&change).checked(0), err(anything()));
+            }
+            expect_that!(Settings::from_text(&text, "node.json"), err(anything()));
+            expect_that!(
+                Document::read(format!("{before}{}", open.repeat(DEPTH)).as_bytes()),
+                err(anything())
+            );
+        }
+    }
+}
+
+/// The most address space that this process has had, in bytes.
+fn peak_memory() -> u64 {
+    let status = std::fs::read_to_string("/proc/self/status").expect("the state of this process");
+    let line = status.lines().find_map(|line| line.strip_prefix("VmPeak:")).expect("its peak");
+    let kilobytes: u64 = line.trim().trim_end_matches(" kB").parse().expect("a number");
+    kilobytes << 10
+}
+
+#[gtest]
+fn a_length_that_lies_takes_no_memory() {
+    // What tests at the same time may take, and far below what any of these lengths names.
+    const ALLOWANCE: u64 = 1 << 30;
+    let before = peak_memory();
+    for body in sample_bodies() {
+        for at in 0..body.len() {
+            for length in [u32::MAX, u32::MAX / 2, 0x1000_0000, LONGEST as u32] {
+                let mut lying = body.clone();
+                let end = lying.len().min(at + 4);
+                lying[at..end].copy_from_slice(&length.to_le_bytes()[..end - at]);
+                check_all_messages(&lying).expect("an error or the same message again");
+                // The length of the frame itself: it waits for bytes that never come, or is refused.
+                let mut frame = framed(&lying);
+                frame[4..8].copy_from_slice(&length.to_le_bytes());
+                let read = decoded::<Peer>(&frame);
+                expect_that!(matches!(read, Ok(None) | Err(FrameError::TooLong { .. })), is_true());
+            }
+        }
+    }
+    expect_that!(peak_memory() - before, lt(ALLOWANCE));
+}
--- /dev/null
+++ b/system/tests/stored_codecs.rs
@@ -0,0 +1,88 @@
+//! What a control node writes to its disk: any bytes give an error or a value that is written and read again as the same one.
+//!
+//! A longer run: `PROPTEST_CASES=100000 cargo test --release -p ivyhatch-system --test stored_codecs`.
+
+use googletest::prelude::*;
+use ivyhatch_control::Record;
+use ivyhatch_control::state::{Configured, Evacuated, State};
+use ivyhatch_protocol::configuration::Document;
+use ivyhatch_protocol::ids::{Epoch, Part};
+use proptest::collection::vec;
+use proptest::prelude::*;
+use proptest::sample::Index;
+use speedy::{LittleEndian, Readable, Writable};
+
+fn check<T>(bytes: &[u8]) -> std::result::Result<bool, TestCaseError>
+where
+    T: for<'a> Readable<'a, LittleEndian> + Writable<LittleEndian> + PartialEq + std::fmt::Debug,
+{
+    let Ok(value) = T::read_from_buffer(bytes) else { return Ok(false) };
+    let written = value.write_to_vec().expect("writing to memory");
+    prop_assert_eq!(T::read_from_buffer(&written).expect("its own bytes"), value);
+    Ok(true)
+}
+
+fn check_all(bytes: &[u8]) -> std::result::Result<(), TestCaseError> {
+    check::<Record>(bytes)?;
+    check::<Configured>(bytes)?;
+    check::<Evacuated>(bytes)?;
+    for part in [Part::CONFIGURATION, Part(1)] {
+        let is_read = State::read(part, bytes).is_some();
+        let is_readable = if part == Part::CONFIGURATION {
+            check::<Configured>(bytes)?
+        } else {
+            check::<Evacuated>(bytes)?
+        };
+        prop_assert_eq!(is_read, is_readable);
+    }
+    Ok(())
+}
+
+/// Some of each kind, as bytes.
+fn samples() -> Vec<Vec<u8>> {
+    let document = Document::read(br#"{"revision":7,"routes":[{"name":"a"},{"name":"b"}],"limits":{"x":1}}"#)
+        .expect("a readable configuration");
+    let configured = Configured { document, taken: vec![1, 2, 3] };
+    let mut evacuated = Evacuated::default();
+    evacuated.zones.insert("za".to_owned(), (true, 3));
+    evacuated.zones.insert("zb".to_owned(), (false, 2));
+    vec![
+        Record::Promised(Part(1), Epoch::default()).write_to_vec().expect("bytes"),
+        configured.write_to_vec().expect("bytes"),
+        evacuated.write_to_vec().expect("bytes"),
+    ]
+}
+
+proptest! {
+    #[test]
+    fn any_bytes_are_an_error_or_the_same_value_again(
+        bytes in vec(prop_oneof![3 => Just(0_u8), 3 => 0..12_u8, 1 => any::<u8>()], 0..160),
+    ) {
+        check_all(&bytes)?;
+    }
+
+    #[test]
+    fn harmed_bytes_are_an_error_or_the_same_value_again(
+        which in any::<Index>(),
+        at in any::<Index>(),
+        with in vec(any::<u8>(), 0..5),
+        length in any::<Index>(),
+    ) {
+        let samples = samples();
+        let mut bytes = samples[which.index(samples.len())].clone();
+        let at = at.index(bytes.len());
+        let end = bytes.len().min(at + with.len());
+        bytes[at..end].copy_from_slice(&with[..end - at]);
+        check_all(&bytes)?;
+        bytes.truncate(length.index(bytes.len()));
+        check_all(&bytes)?;
+    }
+}
+
+#[gtest]
+fn the_samples_are_sound() {
+    let samples = samples();
+    expect_that!(check::<Record>(&samples[0]), ok(eq(&true)));
+    expect_that!(check::<Configured>(&samples[1]), ok(eq(&true)));
+    expect_that!(check::<Evacuated>(&samples[2]), ok(eq(&true)));
+}
