A seat changes hands as soon as its successor is heard, not at the next ticks

Cause: the leader of the membership proposed, and the successor asked for its state, only at ticks of 100 ms; three in a row. A test over sockets that kills another node a second after a disk was lost (one_that_lost_its_disk_recovers_from_the_others) went red. Change: the next membership is looked for with each heartbeat of a replica without a seat and each answer in the membership's partition; state is asked for as soon as the membership is known. The test is as it was, and passes.

--- a/control/src/control_plane.rs
+++ b/control/src/control_plane.rs
@@ -239,6 +239,9 @@
         let mut effects = Vec::new();
         partition.handle(now, from, message, votes, &mut effects);
         self.carry_out(part, effects, out);
+        if part == Part::MEMBERSHIP {
+            self.replace_voters(out);
+        }
         self.drive(part, out);
     }
 
--- a/control/src/heartbeats.rs
+++ b/control/src/heartbeats.rs
@@ -161,9 +161,13 @@
         let peer = self.peers.entry(from).or_default();
         let newer =
             |known: &Heartbeat| known.incarnation != heartbeat.incarnation || known.number < heartbeat.number;
+        let wants_seat = heartbeat.status != ReplicaStatus::Voter;
         if peer.heartbeat.as_ref().is_none_or(newer) {
             peer.heartbeat = Some(heartbeat);
         }
+        if wants_seat {
+            self.replace_voters(out);
+        }
     }
 
     /// Nodes that others hear are called; they stay known if they answer.
--- a/control/src/reconfiguration.rs
+++ b/control/src/reconfiguration.rs
@@ -90,6 +90,7 @@
         self.set_voters(out);
         self.set_status(self.status_in_membership(), out);
         self.heartbeat(out);
+        self.collect_state(out);
     }
 
     /// On the very first start the lowest of the seeds makes up the membership, once it has heard from all seeds.
