--- /dev/null
+++ b/system/src/router/dispatch/mod.rs
@@ -0,0 +1,204 @@
+//! Between the sockets and the design: the sole owner of the balancers, one a service, of ids, timers and the table of requests.
+//! Events go in, actions come out; what an action asks of the network is left to the upstream. Nothing is decided here, and no
+//! borrow outlives one of its calls.
+
+mod answers;
+mod attempt;
+mod events;
+mod requests;
+mod server_list;
+mod services;
+mod state;
+
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use badgerpost::seats::{Seats, Times};
+use brookfield::{Outcome, RequestId, Stage};
+use ivyhatch_protocol::configuration::{Change, Limits, Route};
+use ivyhatch_protocol::feed::Server;
+use ivyhatch_protocol::settings::Settings;
+use ivyhatch_protocol::{MILLISECOND, Nanos};
+use ivyhatch_routing::engine::Load;
+use tokio::sync::{Notify, oneshot};
+
+use super::answer::{Head, Reply, Sink};
+use super::upstream::Upstream;
+use crate::clock::Clock;
+pub use attempt::{Asked, Call, Ending, Launch, Service, Ticket};
+use state::{Errands, Inner};
+
+/// How long past a request's end the design is waited for before the request is answered all the same.
+const BACKSTOP: Nanos = 15 * MILLISECOND;
+/// Beyond the time for which the list calls a server cold: the list's own lag and its way here.
+const COLD_MORE: Nanos = 1500 * MILLISECOND;
+
+/// A handle on the dispatcher. Cheap to clone.
+#[derive(Clone)]
+pub struct Dispatcher {
+    inner: Rc<RefCell<Inner>>,
+    upstream: Rc<Upstream>,
+    seats: Rc<Seats>,
+    timer: Rc<Notify>,
+    readied: Rc<Notify>,
+    clock: Clock,
+}
+
+/// A request that is owed its answer. Dropping it means that its client has gone.
+pub struct Waiting {
+    dispatcher: Dispatcher,
+    request: RequestId,
+}
+
+impl Drop for Waiting {
+    fn drop(&mut self) {
+        let request = self.request;
+        self.dispatcher.tell(|inner, errands| inner.client_gone(request, errands));
+    }
+}
+
+impl Dispatcher {
+    /// One that knows no route and no server yet.
+    pub fn new(settings: &Settings, clock: Clock, upstream: Rc<Upstream>, seats: Rc<Seats>) -> Self {
+        let inner = Rc::new(RefCell::new(Inner::new(settings, clock)));
+        Self { inner, upstream, seats, timer: Rc::default(), readied: Rc::default(), clock }
+    }
+
+    /// The present.
+    pub fn now(&self) -> Nanos {
+        self.clock.now()
+    }
+
+    /// Whether a configuration and a list of servers are known.
+    pub fn is_ready(&self) -> bool {
+        self.inner.borrow().ready
+    }
+
+    /// From now on requests are taken. Whether they were not before.
+    pub fn become_ready(&self) -> bool {
+        let first = !std::mem::replace(&mut self.inner.borrow_mut().ready, true);
+        if first {
+            self.readied.notify_waiters();
+        }
+        first
+    }
+
+    /// Waits until requests are taken, for so long at most. Whether they are.
+    pub async fn readied(&self, within: Duration) -> bool {
+        if !self.is_ready() {
+            let _ = tokio::time::timeout(within, self.readied.notified()).await;
+        }
+        self.is_ready()
+    }
+
+    /// Requests that are owed an answer, or whose stream is under way.
+    pub fn open(&self) -> usize {
+        self.inner.borrow().requests.values().filter(|open| !open.ended).count()
+    }
+
+    /// The route of a request.
+    pub fn route(&self, host: &str, path: &str) -> Option<Rc<Route>> {
+        self.inner.borrow().table.find(host, path).cloned()
+    }
+
+    /// What clients may send.
+    pub fn limits(&self) -> Limits {
+        self.inner.borrow().table.limits()
+    }
+
+    /// Takes a change of the configuration in.
+    pub fn configure(&self, change: &Change) {
+        let unreadable = self.inner.borrow_mut().configure(change);
+        for error in unreadable {
+            log::error!("event=unreadable_item error={:?}", error.to_string());
+        }
+        let limits = self.limits();
+        let time = |ms: f64| Duration::from_millis(ms.clamp(100.0, 600_000.0) as u64);
+        self.seats
+            .set_times(Times { whole: time(limits.header_timeout_ms), idle: time(limits.idle_timeout_ms) });
+    }
+
+    /// Takes the list of servers in; `evacuation` tells whether a zone is evacuated, and how often that has changed.
+    pub fn servers(&self, servers: Vec<Server>, evacuation: impl Fn(&str) -> (bool, u64)) {
+        self.tell(|inner, errands| inner.servers(servers, evacuation, errands));
+    }
+
+    /// Whether the router can know what is ordered now. The list of servers is to be taken in anew.
+    pub fn set_touch(&self, touch: bool) {
+        self.inner.borrow_mut().touch = touch;
+    }
+
+    /// So many routers share the servers, and this is one's place among them.
+    pub fn set_routers(&self, routers: u32, place: u32) {
+        self.inner.borrow_mut().set_routers(routers, place);
+    }
+
+    /// Takes a request. None where an open one has its id: passed on, it would count as another attempt of that one.
+    pub fn submit(&self, asked: Asked) -> Option<(Waiting, oneshot::Receiver<Reply>)> {
+        let (reply, answer) = oneshot::channel();
+        let request = self.tell(|inner, errands| inner.submit(asked, reply, errands))?;
+        Some((Waiting { dispatcher: self.clone(), request }, answer))
+    }
+
+    /// Whether an attempt may still be written: a connect can outlast its request, or the server's place on the list.
+    pub fn may_write(&self, ticket: Ticket) -> bool {
+        let inner = self.inner.borrow();
+        let now = inner.clock.now();
+        let live =
+            inner.requests.get(&ticket.request).is_some_and(|open| !open.ended && now < open.not_after);
+        let known =
+            inner.services.get(&ticket.service).and_then(|service| service.backends.get(&ticket.backend));
+        live && known.is_some_and(|known| known.stage == Stage::InService)
+    }
+
+    /// A stream has begun to come. Returns the way to its client; none where that has gone.
+    pub fn begun(&self, ticket: Ticket, head: Head, load: Option<Load>) -> Option<Sink> {
+        self.tell(|inner, errands| inner.begun(ticket, head, load, errands))
+    }
+
+    /// Events have been passed on.
+    pub fn passed(&self, ticket: Ticket, last: Option<u64>) {
+        let mut inner = self.inner.borrow_mut();
+        if let (Some(open), Some(last)) = (inner.requests.get_mut(&ticket.request), last) {
+            open.last_event = Some(last);
+        }
+    }
+
+    /// Takes the end of an attempt.
+    pub fn settled(&self, ticket: Ticket, ending: Ending) {
+        self.tell(|inner, errands| inner.settled(ticket, ending, errands));
+    }
+
+    /// Runs the timers; never ends.
+    pub async fn run_timers(&self) {
+        loop {
+            let next = self.inner.borrow().timers.first().map(|(at, _)| *at);
+            match next {
+                None => self.timer.notified().await,
+                Some(at) => {
+                    tokio::select! {
+                        () = tokio::time::sleep_until(self.clock.instant(at)) => {}
+                        () = self.timer.notified() => {}
+                    }
+                }
+            }
+            self.tell(|inner, errands| inner.fire(errands));
+        }
+    }
+
+    /// One call inside; what it leaves to do is done once the borrow has ended.
+    fn tell<T>(&self, call: impl FnOnce(&mut Inner, &mut Errands) -> T) -> T {
+        let mut errands = Errands::default();
+        let result = call(&mut self.inner.borrow_mut(), &mut errands);
+        errands.retired.into_iter().for_each(|(service, backend)| self.upstream.retire(service, backend));
+        errands.launches.into_iter().for_each(|launch| self.upstream.launch(self, launch));
+        for ticket in errands.moot {
+            self.settled(ticket, Ending::bare(Outcome::Moot));
+        }
+        if errands.rearm {
+            self.timer.notify_one();
+        }
+        result
+    }
+}
--- /dev/null
+++ b/system/src/router/dispatch/server_list.rs
@@ -0,0 +1,102 @@
+//! Takes the platform's list of servers in, service by service.
+
+use std::collections::{BTreeMap, HashSet};
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use brookfield::{BackendId, Event, ListScope, Member, Stage, ZoneId};
+use ivyhatch_protocol::feed::Server;
+use ivyhatch_protocol::{MILLISECOND, Nanos};
+
+use super::COLD_MORE;
+use super::attempt::Service;
+use super::state::{Balanced, Errands, Inner, Known};
+
+impl Inner {
+    pub(super) fn servers(
+        &mut self,
+        servers: Vec<Server>,
+        evacuation: impl Fn(&str) -> (bool, u64),
+        errands: &mut Errands,
+    ) {
+        let (now, touch) = (self.clock.now(), self.touch);
+        let mut by_service: BTreeMap<Service, Vec<(Server, u32)>> =
+            self.services.keys().map(|service| (*service, Vec::new())).collect();
+        for server in servers {
+            let (service, region) = (self.service(&server.service), self.region(&server.zone));
+            by_service.entry(service).or_default().push((server, region));
+        }
+        for (id, servers) in by_service {
+            let Some(service) = self.services.get_mut(&id) else { continue };
+            let (members, retired) = service.list(now, servers, touch, &evacuation);
+            errands.retired.extend(retired.into_iter().map(|backend| (id, backend)));
+            if !members.is_empty() {
+                self.hear(id, Event::Fleet { scope: ListScope::Changes, members }, errands);
+            }
+        }
+    }
+}
+
+impl Balanced {
+    /// Takes the list of this service's servers in. Returns what has changed, and whose idle connections are of no more use.
+    fn list(
+        &mut self,
+        now: Nanos,
+        servers: Vec<(Server, u32)>,
+        touch: bool,
+        evacuation: &impl Fn(&str) -> (bool, u64),
+    ) -> (Vec<Member>, Vec<BackendId>) {
+        let (mut members, mut retired, mut there) = (Vec::new(), Vec::new(), HashSet::new());
+        let mut placement = self.placement.borrow_mut();
+        for (server, region) in servers {
+            let Ok(endpoint) = server.address.parse::<SocketAddr>() else {
+                log::warn!("event=server_without_address id={} address={:?}", server.id, server.address);
+                continue;
+            };
+            let id = *self.ids.entry(server.id.clone()).or_insert_with(|| {
+                self.next_backend += 1;
+                BackendId(self.next_backend)
+            });
+            there.insert(id);
+            let (evacuated, evacuations) = evacuation(&server.zone);
+            let leaves = server.draining || server.remaining_ms.is_some();
+            // Out of touch nobody knows whether the zone is evacuated still.
+            let last_resort = evacuated && !touch;
+            let leaves = leaves || (evacuated && touch);
+            let stage = if leaves { Stage::Draining } else { Stage::InService };
+            let cold_left = Nanos::from(server.cold_left_ms) * MILLISECOND;
+            let cold_until = if cold_left > 0 { now + cold_left + COLD_MORE } else { 0 };
+            placement.listed(id, &server.id, region, cold_until, last_resort);
+            let known = self.backends.get(&id);
+            // Its zone has just been taken back: its servers may have turned cold meanwhile.
+            if known.is_some_and(|known| known.evacuations != evacuations) && !evacuated {
+                placement.may_be_cold(now, id);
+            }
+            let changed = known.is_none_or(|known| known.stage != stage || known.endpoint != endpoint);
+            if changed {
+                if stage != Stage::InService {
+                    retired.push(id);
+                }
+                members.push(Member {
+                    backend: id,
+                    zone: ZoneId(region),
+                    stage,
+                    size: f64::from(server.slots.max(1)),
+                    ..Member::default()
+                });
+            }
+            let instance = Rc::from(server.id.as_str());
+            self.backends.insert(id, Known { endpoint, region, instance, server, stage, evacuations });
+        }
+        let gone: Vec<BackendId> = self.backends.keys().filter(|id| !there.contains(*id)).copied().collect();
+        for id in gone {
+            if let Some(known) = self.backends.remove(&id) {
+                self.ids.remove(&known.server.id);
+            }
+            placement.gone(id);
+            retired.push(id);
+            members.push(Member { backend: id, stage: Stage::Gone, ..Member::default() });
+        }
+        (members, retired)
+    }
+}
--- /dev/null
+++ b/system/src/router/dispatch/services.rs
@@ -0,0 +1,150 @@
+//! Services as the configuration has them: each one's balancer, its classes of requests, and the share of this router.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::rc::Rc;
+
+use brookfield::{Balancer, ClassId, ClassSettings, Discovery, Effect, Event, Reports, ZoneId};
+use ivyhatch_protocol::configuration::{Change, Route};
+use ivyhatch_protocol::ids::hash;
+use ivyhatch_protocol::{MILLISECOND, Nanos, SECOND};
+use ivyhatch_routing::placement::{Cold, Placement, Regions, Shared};
+use ivyhatch_routing::table::UnreadableItem;
+
+use super::COLD_MORE;
+use super::attempt::Service;
+use super::state::{Balanced, Inner};
+
+/// Part of its aim for which a request that was never sent is held: a refusal has to come within a quarter.
+const HELD_PART: f64 = 0.2;
+/// Longest pause that a refused client is asked for.
+const PAUSE: Nanos = 400 * MILLISECOND;
+/// Share of a late answer's worth; what it is exactly is not told.
+const LATE_SHARE: f64 = 0.5;
+/// With more routers a region than this the design would take each for one that sees next to nothing; servers tell their load.
+const MOST_ROUTERS_A_REGION: u32 = 8;
+/// Part of the slack for repeats that the routers share out; the rest is for routers that are not known of yet.
+const SAVED_PART: f64 = 0.8;
+/// As long as their number is not known.
+const USUAL_ROUTERS_A_REGION: u32 = 4;
+
+impl Inner {
+    pub(super) fn region(&self, zone: &str) -> u32 {
+        let region = self.zones.get(zone).map_or(zone, String::as_str);
+        let at = self.regions.iter().position(|known| known == region);
+        // One that the settings do not name is nobody's home.
+        at.unwrap_or(self.regions.len()) as u32
+    }
+
+    /// Regions in which a route's requests may be served.
+    pub(super) fn homes(&self, route: &Route) -> Regions {
+        if route.home_regions.is_empty() {
+            return Regions::MAX;
+        }
+        let bit = |region: &String| {
+            let at = self.regions.iter().position(|known| known == region);
+            at.filter(|at| *at < 64).map_or(0, |at| 1 << at)
+        };
+        route.home_regions.iter().map(bit).fold(0, |all: Regions, bit: Regions| all | bit)
+    }
+
+    pub(super) fn configure(&mut self, change: &Change) -> Vec<UnreadableItem> {
+        let unreadable = self.table.apply(change);
+        let services: Vec<(Rc<str>, bool, Cold)> = self
+            .table
+            .services()
+            .map(|service| {
+                let bound = service.cold_per_s * self.bounds.cold_excess + self.bounds.cold_slack;
+                let per_s = if service.cold_per_s > 0.0 { bound } else { 0.0 };
+                let span = (service.cold_s * SECOND as f64) as Nanos + COLD_MORE;
+                (Rc::from(service.name.as_str()), service.engine.is_some(), Cold { per_s, span })
+            })
+            .collect();
+        for (name, is_model, cold) in services {
+            let id = self.service(&name);
+            if let Some(service) = self.services.get(&id) {
+                service.placement.borrow_mut().configure(is_model, cold);
+            }
+        }
+        unreadable
+    }
+
+    pub(super) fn nodes(&self) -> u32 {
+        let regions = self.regions.len().max(1) as u32;
+        self.routers.unwrap_or(USUAL_ROUTERS_A_REGION * regions).clamp(1, MOST_ROUTERS_A_REGION * regions)
+    }
+
+    pub(super) fn set_routers(&mut self, routers: u32, place: u32) {
+        self.routers = Some(routers.max(1));
+        self.place = place;
+        let nodes = self.nodes();
+        let saved = self.bounds.budget_slack * SAVED_PART / f64::from(routers.max(1));
+        for service in self.services.values_mut() {
+            service.balancer.set_nodes(nodes);
+            service.balancer.set_retries_saved(saved);
+            service.placement.borrow_mut().set_routers(routers, place);
+        }
+    }
+
+    /// A service's number; a new one gets a balancer.
+    pub(super) fn service(&mut self, name: &str) -> Service {
+        if let Some(id) = self.names.get(name) {
+            return *id;
+        }
+        let (id, name) = (Service(self.names.len() as u32), Rc::<str>::from(name));
+        let regions = self.regions.len() as u32;
+        let mut settings = brookfield::Settings::new(ZoneId(self.home), regions);
+        settings.nodes = self.nodes();
+        settings.classes = vec![ClassSettings { late_share: LATE_SHARE, ..ClassSettings::default() }];
+        settings.discovery = Discovery::Pushed;
+        settings.reports = Reports::Piggyback;
+        settings.repeats_marked = true;
+        settings.limits.second_copies = false;
+        settings.limits.retry_after = PAUSE;
+        settings.rules.start_capacity = 1.0;
+        settings.rules.warm_after = 1;
+        let seed = self.random ^ hash(name.as_bytes());
+        let now = self.clock.now();
+        // The settings are the program's own: they are sound.
+        let Ok(mut balancer) = Balancer::new(settings, seed, now) else { return id };
+        balancer.handle(now, Event::Start, &mut Vec::new());
+        let placement = Rc::new(RefCell::new(Placement::new(self.home, regions)));
+        if let Some(routers) = self.routers {
+            placement.borrow_mut().set_routers(routers, self.place);
+        }
+        balancer.advise(Box::new(Shared(placement.clone())));
+        self.names.insert(name.clone(), id);
+        let balanced = Balanced {
+            name,
+            balancer,
+            placement,
+            classes: HashMap::new(),
+            ids: HashMap::new(),
+            backends: HashMap::new(),
+            next_backend: 0,
+        };
+        self.services.insert(id, balanced);
+        id
+    }
+    pub(super) fn class(&mut self, service: Service, route: &Route) -> Option<ClassId> {
+        let aim = (route.target_ms.max(1.0) * MILLISECOND as f64) as Nanos;
+        let key = (aim, route.priority, route.max_tries, route.is_repeatable());
+        let balanced = self.services.get_mut(&service)?;
+        if let Some(class) = balanced.classes.get(&key) {
+            return Some(*class);
+        }
+        let class = balanced.balancer.add_class(ClassSettings {
+            aim,
+            deadline: (route.timeout_ms.max(1.0) * MILLISECOND as f64) as Nanos,
+            // The more urgent, the more it is worth; by how much is not told.
+            worth: 4.0 / f64::from(1 + route.priority.min(9)),
+            late_share: LATE_SHARE,
+            effect: if route.is_repeatable() { Effect::Repeatable } else { Effect::Once },
+            attempts: Some(route.max_tries.max(1)),
+            patience: Some((aim as f64 * HELD_PART) as Nanos),
+            again_late: true,
+        });
+        balanced.classes.insert(key, class);
+        Some(class)
+    }
+}
