Every byte of an exchange goes wrong in a test; an answer with two stamps or ids is not passed on

Cause: nothing showed what a router makes of a connection that is cut, reset, muted, delayed or answered twice at any given byte. cli/tests/system_calls.rs records an exchange and has each byte of its request and of its answer go wrong, on fresh and on kept connections, with answers of known length, in chunks, as events and refusals; with clients that pipeline, and clients that leave at any byte. It counts what reaches the servers, and holds each answer to what it promises.

Found: an answer that the server begins anew in the middle of its stamp's line has two stamps, the first of them damaged, and was passed on as a success. Now an answer that repeats its id or its stamp counts as spoilt.

--- a/cli/tests/system_common/calls.rs
+++ b/cli/tests/system_common/calls.rs
@@ -154,6 +154,21 @@
         Answer { head, body }
     }
 
+    /// Reads so many bytes, or what there is of them.
+    pub fn skip(&mut self, count: usize) {
+        let _ = self.0.by_ref().take(count as u64).read_to_end(&mut Vec::new());
+    }
+
+    /// Says that it writes no more.
+    pub fn half_close(&mut self) {
+        let _ = self.0.get_mut().shutdown(std::net::Shutdown::Write);
+    }
+
+    /// Leaves with a reset.
+    pub fn reset(self) {
+        ivyhatch_rig::scripted::Client::over(self.0.into_inner()).reset();
+    }
+
     /// Whether the connection has ended, with nothing more on it.
     pub fn is_over(&mut self) -> bool {
         matches!(self.0.read(&mut [0]), Ok(0) | Err(_))
--- a/cli/tests/system_common/mod.rs
+++ b/cli/tests/system_common/mod.rs
@@ -4,6 +4,7 @@
 #![allow(dead_code)]
 
 pub mod calls;
+pub mod faults;
 pub mod platform;
 pub mod server;
 
--- a/system/src/router/upstream.rs
+++ b/system/src/router/upstream.rs
@@ -14,7 +14,8 @@
 use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1::{Builder, SendRequest};
 use hyper::header::{
-    CONTENT_ENCODING, CONTENT_LENGTH, HOST, HeaderMap, HeaderName, HeaderValue, TRANSFER_ENCODING,
+    AsHeaderName, CONTENT_ENCODING, CONTENT_LENGTH, HOST, HeaderMap, HeaderName, HeaderValue,
+    TRANSFER_ENCODING,
 };
 use hyper::{Request, Response, StatusCode, Uri};
 use hyper_util::rt::TokioIo;
@@ -229,6 +230,10 @@
     ) -> Exchanged {
         let (head, body) = response.into_parts();
         let headers = &head.headers;
+        // Where a server began its answer anew in the middle of a line, there are two, and the first is damaged.
+        if is_repeated(headers, ATTEMPT_ID) || is_repeated(headers, &STAMP) {
+            return Exchanged::broken(Outcome::Spoilt);
+        }
         let id = headers.get(ATTEMPT_ID).and_then(|id| id.to_str().ok());
         let refused = headers.contains_key(NOT_EXECUTED) || head.status == StatusCode::MISDIRECTED_REQUEST;
         // An answer that was held up may come in the place of the next one.
@@ -422,6 +427,11 @@
     }
 }
 
+/// Whether a header that may stand once stands more often.
+fn is_repeated(headers: &HeaderMap, name: impl AsHeaderName) -> bool {
+    headers.get_all(name).iter().nth(1).is_some()
+}
+
 /// How long a server keeps an idle connection, by its own word.
 fn kept_for(headers: &HeaderMap) -> Nanos {
     let text = headers.get(KEEP_ALIVE).and_then(|text| text.to_str().ok()).unwrap_or("");
