A server's 503, 429 or 408 is no promise to the client unless it says that nothing ran

Cause: a status that clients take for a promise was passed on from a server that did not say that it had not executed the request; on a route whose requests may not be repeated that promise may be false.

Change: such an answer counts as the server's failure, and the client gets 502. Requests that may be repeated get what they got.

Test: refusal_that_does_not_say_that_nothing_ran_is_no_promise gave 408 in the place of 502 before.

--- a/cli/tests/system_calls.rs
+++ b/cli/tests/system_calls.rs
@@ -393,6 +393,7 @@
             trial.ask(&mut None, LONG_MS);
         }
     });
+    println!("requests cut off at {} bytes each; answers by status: {:?}", length + 1, trial.counts());
     trial.verify();
     let (ledger, whole) = (trial.servers.ledger(), whole.lock().unwrap());
     let got = trial.got.lock().unwrap();
--- a/cli/tests/system_requests.rs
+++ b/cli/tests/system_requests.rs
@@ -304,6 +304,18 @@
     );
 }
 
+/// Clients take these statuses for a promise that the request did not run; only a server that says so has not run it.
+#[test]
+fn refusal_that_does_not_say_that_nothing_ran_is_no_promise() {
+    for status in [408, 429, 503] {
+        let [_, once] = against(move |asked| {
+            vec![Step::Writes(whole(status, &format!("{}{STAMP}", id(asked.id())), b"failed"))]
+        });
+        assert_eq!((once.0.head.status, once.1), (502, 1), "{status}: {once:?}");
+        assert_eq!(once.0.head.value("ivyhatch-server-stamp"), None, "no server gave this status");
+    }
+}
+
 #[test]
 fn bytes_behind_a_whole_answer_belong_to_no_request() {
     for more in ["same", "other", "garbage"] {
--- a/system/src/router/upstream.rs
+++ b/system/src/router/upstream.rs
@@ -51,6 +51,14 @@
 const LOOK_COUNTS: Nanos = 300 * MILLISECOND;
 const SWEEP: Duration = Duration::from_secs(1);
 
+/// Statuses by which a client knows that its request did not run and never will.
+const PROMISES: [StatusCode; 4] = [
+    StatusCode::REQUEST_TIMEOUT,
+    StatusCode::MISDIRECTED_REQUEST,
+    StatusCode::TOO_MANY_REQUESTS,
+    StatusCode::SERVICE_UNAVAILABLE,
+];
+
 const STAMP: HeaderName = HeaderName::from_static("ivyhatch-server-stamp");
 const NOT_EXECUTED: HeaderName = HeaderName::from_static("ivyhatch-not-executed");
 const LOAD: HeaderName = HeaderName::from_static("ivyhatch-server-load");
@@ -250,6 +258,10 @@
             let kept_for = kept_for.filter(|_| whole && !moved);
             return Exchanged { ending: Ending { load, ..Ending::bare(outcome) }, kept_for };
         }
+        // Such a status with no word that it was not executed: it may have run, and the client must not be told that it did not.
+        if !launch.movable && PROMISES.contains(&head.status) {
+            return Exchanged::broken(Outcome::Error);
+        }
         let framed = body.size_hint().exact().is_some() || headers.contains_key(TRANSFER_ENCODING);
         let encoded = headers.get(CONTENT_ENCODING).is_some_and(|coding| coding != "identity");
         let success = head.status.is_success();
