A late refusal is not taken for the answer to another attempt

Cause: servers may send an answer a second time in the place of the next one on the connection; the id tells them apart. It does not where the next attempt is of the same request (one server, refused, tried again on the same connection), nor where a refusal bears no id. In the first case the client was told 503 though its request ran, in the second a request that may not be repeated was sent again and ran twice.

Change: a kept connection remembers the request that it carried last and does not carry that one again; a refusal without an id counts only as the first answer of its connection, and is spoilt on any later one.

Ruled out: waiting for the copy on the same connection: nothing bounds how late it comes.

Tests, both red before (503 with 2 arrivals; 3 arrivals in the place of 2): late_copy_of_a_refusal_is_not_taken_for_the_answer_to_the_next_attempt, late_refusal_without_an_id_is_no_promise.

--- a/cli/tests/system_common/server.rs
+++ b/cli/tests/system_common/server.rs
@@ -18,6 +18,8 @@
     pub message: Message,
     /// How many came to this server before it.
     pub number: usize,
+    /// How many came on its connection before it.
+    pub on_connection: usize,
 }
 
 impl Asked {
@@ -95,13 +97,14 @@
 ) {
     let mut writer = stream.try_clone().unwrap();
     let mut reader = BufReader::new(stream);
-    while let Some(message) = read_message(&mut reader) {
+    let messages = std::iter::from_fn(|| read_message(&mut reader));
+    for (on_connection, message) in messages.enumerate() {
         let number = {
             let mut count = count.lock().unwrap();
             *count += 1;
             *count - 1
         };
-        let asked = Asked { message, number };
+        let asked = Asked { message, number, on_connection };
         let steps = does(&asked);
         if sender.send(asked).is_err() {
             return;
--- a/cli/tests/system_requests.rs
+++ b/cli/tests/system_requests.rs
@@ -363,6 +363,47 @@
     }
 }
 
+/// The request goes to its one server again; the refusal's copy has the same id, and only the connection tells it from an answer.
+#[test]
+fn late_copy_of_a_refusal_is_not_taken_for_the_answer_to_the_next_attempt() {
+    let site = Site::new();
+    let server = site.server(("i-1", "s", "za"), |asked| {
+        let refuses =
+            Step::Writes(whole(503, &format!("{}Ivyhatch-Not-Executed: 1\r\n", id(asked.id())), b""));
+        match (asked.number, asked.on_connection) {
+            (0, _) => vec![refuses],
+            (_, 0) => ok(asked, b"own"),
+            _ => [vec![refuses], ok(asked, b"own")].concat(),
+        }
+    });
+    let _served = site.serving(&[&server], &usual());
+    let answer = ask(site.at(ROUTER, FRONT), &request("r1", "POST", "/unsafe/x", "", b""));
+    assert_eq!(
+        (answer.head.status, answer.body.as_slice(), server.count()),
+        (200, &b"own"[..], 2),
+        "{answer:?}"
+    );
+}
+
+/// Servers send each answer with its request's id. Without one, a refusal on a connection that has carried another request may be
+/// that one's.
+#[test]
+fn late_refusal_without_an_id_is_no_promise() {
+    let site = Site::new();
+    let server = site.server(("i-1", "s", "za"), |asked| {
+        let refuses = Step::Writes(whole(503, "Ivyhatch-Not-Executed: 1\r\n", b""));
+        let own = ok(asked, b"own");
+        if asked.on_connection == 0 { own } else { [vec![refuses], own].concat() }
+    });
+    let _served = site.serving(&[&server], &usual());
+    let at = site.at(ROUTER, FRONT);
+    assert_eq!(ask(at, &get("r1", "/safe/x")).body, b"own");
+    // Once it has rested, the connection is used again.
+    thread::sleep(Duration::from_millis(20));
+    let answer = ask(at, &request("r2", "POST", "/unsafe/x", "", b""));
+    assert_eq!((answer.head.status, server.count()), (502, 2), "{answer:?}");
+}
+
 #[test]
 fn a_server_that_does_not_listen_is_passed_over() {
     let site = Site::new();
--- a/cli/tests/system_streams.rs
+++ b/cli/tests/system_streams.rs
@@ -264,7 +264,11 @@
 #[test]
 fn a_stream_whose_rest_has_another_id_does_not_look_complete() {
     never_complete(|asked| {
-        let other = Asked { message: system_common::server::renamed(&asked.message, "other"), number: 0 };
+        let other = Asked {
+            message: system_common::server::renamed(&asked.message, "other"),
+            number: 0,
+            on_connection: 0,
+        };
         stream(&other, 4..=6)
     });
 }
--- a/system/src/router/upstream.rs
+++ b/system/src/router/upstream.rs
@@ -72,6 +72,8 @@
 
 struct Idle {
     sender: Sender,
+    /// The request that it carried last; none where it has not carried any.
+    carried: Option<Rc<str>>,
     since: Nanos,
     until: Nanos,
 }
@@ -161,10 +163,10 @@
     async fn attempt(&self, dispatcher: &Dispatcher, launch: &Launch, written: &Cell<bool>) -> Ending {
         let place = (launch.ticket.service, launch.ticket.backend);
         loop {
-            let (mut sender, fresh) = match self.take(place) {
-                Some(sender) => (sender, false),
+            let (mut sender, carried, fresh) = match self.take(place, &launch.id) {
+                Some((sender, carried)) => (sender, carried, false),
                 None => match self.connect(launch).await {
-                    Some(sender) => (sender, true),
+                    Some(sender) => (sender, None, true),
                     None => return Ending::bare(Outcome::ConnectFailed),
                 },
             };
@@ -180,7 +182,7 @@
             }
             // The connect may have outlasted the request, or the server's place on the list.
             if !dispatcher.may_write(launch.ticket) {
-                self.keep(place, sender, Some(KEPT));
+                self.keep(place, sender, carried, Some(KEPT));
                 return Ending::bare(Outcome::Moot);
             }
             let Some(message) = self.message(launch) else { return Ending::bare(Outcome::Moot) };
@@ -204,8 +206,8 @@
                     None => return Ending::bare(broken(error.error())),
                 },
             };
-            let exchanged = self.answered(dispatcher, launch, response).await;
-            self.keep(place, sender, exchanged.kept_for);
+            let exchanged = self.answered(dispatcher, launch, response, carried.is_none()).await;
+            self.keep(place, sender, Some(launch.id.clone()), exchanged.kept_for);
             return exchanged.ending;
         }
     }
@@ -229,12 +231,13 @@
         Some(message)
     }
 
-    /// Reads an answer.
+    /// Reads an answer, the `first` of its connection or a later one.
     async fn answered(
         &self,
         dispatcher: &Dispatcher,
         launch: &Launch,
         response: Response<Incoming>,
+        first: bool,
     ) -> Exchanged {
         let (head, body) = response.into_parts();
         let headers = &head.headers;
@@ -244,8 +247,9 @@
         }
         let id = headers.get(ATTEMPT_ID).and_then(|id| id.to_str().ok());
         let refused = headers.contains_key(NOT_EXECUTED) || head.status == StatusCode::MISDIRECTED_REQUEST;
-        // An answer that was held up may come in the place of the next one.
-        if id.is_some_and(|id| id != &*launch.id) || (id.is_none() && !refused) {
+        // An answer that was held up may come in the place of the next one. Without an id only the first answer of a connection is
+        // known to belong to its request, and only a refusal is taken so.
+        if id.is_some_and(|id| id != &*launch.id) || (id.is_none() && !(refused && first)) {
             return Exchanged::broken(Outcome::Spoilt);
         }
         let kept_for = Some(kept_for(headers));
@@ -321,7 +325,7 @@
             match self.connect(launch).await {
                 // It serves the next request there.
                 Some(sender) => {
-                    self.keep(place, sender, Some(KEPT));
+                    self.keep(place, sender, None, Some(KEPT));
                     false
                 }
                 None => true,
@@ -383,20 +387,23 @@
         Exchanged { ending: Ending { load, ..Ending::bare(Outcome::Served) }, kept_for }
     }
 
-    /// An idle connection that has rested; the one used last, so that those in excess grow old.
-    fn take(&self, place: Place) -> Option<Sender> {
+    /// An idle connection that has rested; the one used last, so that those in excess grow old. Never one that carried the same
+    /// request last: a late copy of the answer then would bear the id of the one that is awaited.
+    fn take(&self, place: Place, id: &str) -> Option<(Sender, Option<Rc<str>>)> {
         let now = self.clock.now();
         let mut idle = self.idle.borrow_mut();
         let kept = idle.get_mut(&place)?;
         kept.retain(|idle| !idle.sender.is_closed() && now < idle.until);
-        let rested = kept.iter().rposition(|idle| now >= idle.since + REST)?;
-        Some(kept.remove(rested).sender)
+        let fits = |idle: &Idle| now >= idle.since + REST && idle.carried.as_deref() != Some(id);
+        let rested = kept.iter().rposition(fits)?;
+        let taken = kept.remove(rested);
+        Some((taken.sender, taken.carried))
     }
 
-    fn keep(&self, place: Place, sender: Sender, kept_for: Option<Nanos>) {
+    fn keep(&self, place: Place, sender: Sender, carried: Option<Rc<str>>, kept_for: Option<Nanos>) {
         let Some(kept_for) = kept_for.filter(|_| !sender.is_closed()) else { return };
         let now = self.clock.now();
-        let idle = Idle { sender, since: now, until: now + kept_for.saturating_sub(KEEP_MARGIN) };
+        let idle = Idle { sender, carried, since: now, until: now + kept_for.saturating_sub(KEEP_MARGIN) };
         self.idle.borrow_mut().entry(place).or_default().push(idle);
     }
 
