A server that falls silent in the middle of a refusal holds no request up

Cause: after a whole head with Ivyhatch-Not-Executed the router waited for the refusal's body until the client's time was up, and answered 502, though it knew that nothing had run.

Change: the body is waited for 50 ms, only to use the connection again; the request goes on as refused.

Test: server_that_falls_silent_in_its_refusal_holds_nobody_up gave 502 after 6 s before, 200 from the other server now.

--- a/cli/tests/system_requests.rs
+++ b/cli/tests/system_requests.rs
@@ -363,6 +363,29 @@
     }
 }
 
+#[test]
+fn server_that_falls_silent_in_its_refusal_holds_nobody_up() {
+    let gate = std::sync::Arc::new(Gate::default());
+    let site = Site::new();
+    let held = gate.clone();
+    let servers = site.pair(move |turn, asked| {
+        let part = format!(
+            "HTTP/1.1 503 X\r\n{}Ivyhatch-Not-Executed: 1\r\nContent-Length: 9\r\n\r\nfu",
+            id(asked.id())
+        );
+        let silent = vec![Step::Writes(part.into_bytes()), Step::Waits(held.clone())];
+        if turn == 0 { silent } else { ok(asked, b"second") }
+    });
+    let _served = site.serving(&[&servers[0], &servers[1]], &usual());
+    let answer = ask(site.at(ROUTER, FRONT), &request("r1", "POST", "/unsafe/x", "", b""));
+    assert_eq!(
+        (answer.head.status, answer.body.as_slice(), counts(&servers)),
+        (200, &b"second"[..], 2),
+        "{answer:?}"
+    );
+    gate.open();
+}
+
 /// The request goes to its one server again; the refusal's copy has the same id, and only the connection tells it from an answer.
 #[test]
 fn late_copy_of_a_refusal_is_not_taken_for_the_answer_to_the_next_attempt() {
--- a/system/src/router/upstream.rs
+++ b/system/src/router/upstream.rs
@@ -41,6 +41,8 @@
 /// ... and after that where it takes this much longer than so many times the quickest one there.
 const CONNECT_MORE: Duration = Duration::from_millis(120);
 const CONNECT_TIMES: u32 = 4;
+/// The rest of a refusal is waited for so long, to use its connection again.
+const REFUSAL_REST: Duration = Duration::from_millis(50);
 /// A connection rests this long after an answer: what comes behind one shows as not asked for, and so does a close.
 const REST: Nanos = 2 * MILLISECOND;
 /// Servers that say nothing of it are taken to keep an idle connection for so long.
@@ -255,7 +257,9 @@
         let kept_for = Some(kept_for(headers));
         let load = headers.get(LOAD).and_then(|text| text.to_str().ok()).and_then(Load::read);
         if refused {
-            let whole = Limited::new(body, LONGEST_ANSWER).collect().await.is_ok();
+            // The head says it all: a server that falls silent in its refusal holds nobody up.
+            let rest = timeout(REFUSAL_REST, Limited::new(body, LONGEST_ANSWER).collect());
+            let whole = rest.await.is_ok_and(|rest| rest.is_ok());
             let moved = head.status == StatusCode::MISDIRECTED_REQUEST;
             // Another server has the address: the one that was meant is gone.
             let outcome = if moved { Outcome::ConnectFailed } else { Outcome::Full };
