A list of several pages is read on a connection of its own; page tokens are encoded

Cause: the pages of the platform's list bear no mark of the call that they answer. Over a connection that is kept, a late copy of the last page passes for the first page of the next reading, and so for the whole list: all servers of the other pages were taken for gone. And a token was put into the query as it was; one with a space made the list unreadable, one with & another token.

Change: the connection is kept only where the list had one page (its late copy is a list that is one reading old); tokens are percent-encoded.

Ruled out: refusing a reading whose token comes twice: within a reading a page's copy only has its next one asked for again, and the list comes out whole. A connection for each reading: it would cost small lists a way to the platform and back for nothing.

Test: late_copy_of_the_last_page_is_not_taken_for_the_first gave 503 for a service of the first page before; with the stand-in's tokens of p&=+ % it did not become ready before.

--- a/cli/tests/system_common/platform.rs
+++ b/cli/tests/system_common/platform.rs
@@ -9,6 +9,9 @@
 use serde_json::{Value, json};
 
 const PAGE: usize = 2;
+/// How page tokens begin, and how they do in a query.
+const TOKEN: &str = "p&=+ %-";
+const TOKEN_IN_QUERY: &str = "page_token=p%26%3D%2B%20%25-";
 
 /// The list, and how often it was asked for.
 pub struct Platform {
@@ -21,6 +24,7 @@
     instances: Vec<Value>,
     calls: u32,
     refuses: bool,
+    repeats: bool,
 }
 
 impl Platform {
@@ -34,8 +38,14 @@
                 thread::spawn(move || {
                     let mut writer = stream.try_clone().unwrap();
                     let mut reader = BufReader::new(stream);
+                    let mut before = String::new();
                     while let Some(message) = read_message(&mut reader) {
-                        let text = answer(&mut state.lock().unwrap(), &message.first);
+                        let mut state = state.lock().unwrap();
+                        let own = answer(&mut state, &message.first);
+                        // The copy comes in the place of the answer, which follows it.
+                        let copy = std::mem::replace(&mut before, own.clone());
+                        let text = if state.repeats { copy + &own } else { own };
+                        drop(state);
                         if writer.write_all(text.as_bytes()).is_err() {
                             return;
                         }
@@ -61,6 +71,11 @@
         self.state.lock().unwrap().refuses = refuses;
     }
 
+    /// Whether from now on each answer comes once more before the next one on its connection.
+    pub fn repeat_late(&self, repeats: bool) {
+        self.state.lock().unwrap().repeats = repeats;
+    }
+
     pub fn calls(&self) -> u32 {
         self.state.lock().unwrap().calls
     }
@@ -72,9 +87,9 @@
     if state.refuses || !path.starts_with("/instances") {
         return "HTTP/1.1 429 Too Many Requests\r\nContent-Length: 0\r\n\r\n".to_owned();
     }
-    let from = path.split("page_token=p-").nth(1).and_then(|text| text.parse().ok()).unwrap_or(0);
+    let from = path.split(TOKEN_IN_QUERY).nth(1).and_then(|text| text.parse().ok()).unwrap_or(0);
     let rest = state.instances.get(from..).unwrap_or_default();
-    let next = (rest.len() > PAGE).then(|| format!("p-{}", from + PAGE));
+    let next = (rest.len() > PAGE).then(|| format!("{TOKEN}{}", from + PAGE));
     let body = json!({"instances": &rest[..rest.len().min(PAGE)], "next_token": next}).to_string();
     format!(
         "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n{body}",
--- a/system/src/cloud.rs
+++ b/system/src/cloud.rs
@@ -77,7 +77,7 @@
 
 type Sender = SendRequest<Empty<Bytes>>;
 
-/// A reader, which keeps its connection.
+/// A reader, which keeps its connection for as long as the list has one page.
 pub struct Cloud {
     address: SocketAddrV4,
     from: std::net::Ipv4Addr,
@@ -92,15 +92,20 @@
 
     /// The whole list.
     ///
+    /// Pages bear no mark of the call that they answer. Within one reading a page that comes once more only has its next one
+    /// asked for again. In the place of the next reading's first page, a last page would pass for the whole list: so a list of
+    /// several pages is read on a connection of its own.
+    ///
     /// # Errors
     /// Where it does not come whole.
     pub async fn read(&mut self) -> Result<Vec<Server>, CloudError> {
         let (mut servers, mut token) = (Vec::new(), None);
-        for _ in 0..MOST_PAGES {
+        for number in 0..MOST_PAGES {
             let page = self.page(token.as_deref()).await?;
             servers.extend(page.instances.into_iter().map(Server::from));
             token = page.next_token.filter(|token| !token.is_empty());
             if token.is_none() {
+                self.sender = self.sender.take().filter(|_| number == 0);
                 return Ok(servers);
             }
         }
@@ -117,7 +122,7 @@
             let unreached = |error: hyper::Error| CloudError::Unreached(error.to_string());
             sender.ready().await.map_err(unreached)?;
             let path = match token {
-                Some(token) => format!("/instances?page_token={token}"),
+                Some(token) => format!("/instances?page_token={}", percent_encoded(token)),
                 None => "/instances".to_owned(),
             };
             let request = Request::get(path).header(HOST, self.address.to_string()).body(Empty::new());
@@ -149,3 +154,11 @@
         Ok(sender)
     }
 }
+
+/// A token as a value of a query, whatever it is made of.
+fn percent_encoded(text: &str) -> String {
+    let unreserved = |byte: u8| byte.is_ascii_alphanumeric() || b"-._~".contains(&byte);
+    let encode =
+        |byte: u8| if unreserved(byte) { char::from(byte).to_string() } else { format!("%{byte:02X}") };
+    text.bytes().map(encode).collect()
+}
