GET /-/status tells who votes, who leads and who is behind; replacements tested over sockets

Change: control/src/report.rs, system/src/status.rs; cli/tests/system_membership.rs plays real processes: a lost machine's successor bears the next loss, a machine that is told to end waits for its successor, a replaced machine that comes back has no seat, a restart without a successor is no longer than a hand-over.

--- /dev/null
+++ b/cli/tests/system_membership.rs
@@ -0,0 +1,120 @@
+//! Machines of the control plane are replaced, planned and not, while real processes serve operators over sockets.
+
+mod system_common;
+
+use std::time::{Duration, Instant};
+
+use serde_json::{Value, json};
+use system_common::calls::call;
+use system_common::{CONTROL, CORE, Process, Site, configuration, until};
+
+/// Takes the place of the third machine, in its zone.
+const SUCCESSOR: u8 = 16;
+/// A successor counts within this after its start (`catch_up_s` of the deployments).
+const CATCH_UP: Duration = Duration::from_secs(4);
+
+fn first() -> Value {
+    configuration(5, &[("a", json!({})), ("b", json!({}))])
+}
+
+/// What a control node says of the replica on another one.
+fn replica(site: &Site, at: u8, of: u8) -> Option<Value> {
+    let (status, report) = call(site.at(at, CONTROL), "GET", "/-/status", None, "")?;
+    assert_eq!(status, 200);
+    let address = json!(site.ip(of).to_string());
+    let replicas = report["replicas"].as_array().expect("it lists the replicas");
+    replicas.iter().find(|replica| replica["node"] == address).cloned()
+}
+
+fn votes(site: &Site, at: u8, of: u8) -> bool {
+    replica(site, at, of)
+        .is_some_and(|replica| replica["has_seat"] == json!(true) && replica["status"] == json!("voter"))
+}
+
+fn founded(site: &Site) -> Vec<Process> {
+    let core = site.core();
+    site.put(11, 0, &first());
+    until("all three vote", || CORE.iter().all(|host| votes(site, 11, *host)));
+    core
+}
+
+#[test]
+fn successor_of_a_lost_machine_counts_in_time_and_bears_the_next_loss() {
+    let site = Site::new();
+    let mut core = founded(&site);
+    core[2].kill();
+    std::fs::remove_dir_all(site.data(13)).expect("its disk is gone");
+    let started = Instant::now();
+    let _successor = site.control(SUCCESSOR, &CORE, false);
+    until("the successor votes", || votes(&site, 11, SUCCESSOR));
+    assert!(started.elapsed() < CATCH_UP, "{:?}", started.elapsed());
+    println!("it counts after {:?}", started.elapsed());
+    assert!(replica(&site, 11, 13).is_none_or(|gone| gone["has_seat"] == json!(false)));
+    site.put(12, 5, &configuration(6, &[("c", json!({}))]));
+    // The next loss: only the successor and one other are left.
+    core[0].kill();
+    std::fs::remove_dir_all(site.data(11)).expect("its disk is lost");
+    site.until_revision(SUCCESSOR, 6);
+    site.put(SUCCESSOR, 6, &configuration(7, &[("d", json!({}))]));
+    site.until_revision(12, 7);
+    // The machine that lost its disk comes back, as another replica.
+    core[0] = site.control(11, &[11, 12, 13], false);
+    until("it votes again", || votes(&site, 12, 11));
+    core[1].kill();
+    site.until_revision(11, 7);
+    site.put(11, 7, &configuration(8, &[("e", json!({}))]));
+}
+
+#[test]
+fn machine_that_is_told_to_end_waits_until_its_successor_counts() {
+    let site = Site::new();
+    let mut core = founded(&site);
+    let _successor = site.control(SUCCESSOR, &CORE, false);
+    until("the successor follows", || {
+        replica(&site, 11, SUCCESSOR).is_some_and(|replica| replica["status"] == json!("learner"))
+    });
+    assert!(votes(&site, 11, 13));
+    let told = Instant::now();
+    core[2].signal("TERM");
+    core[2].end();
+    assert!(votes(&site, 11, SUCCESSOR), "it went before its successor counted");
+    println!("it ended after {:?}", told.elapsed());
+    core[1].kill();
+    site.put(11, 5, &configuration(6, &[("c", json!({}))]));
+    site.until_revision(SUCCESSOR, 6);
+}
+
+#[test]
+fn machine_that_comes_back_after_it_was_replaced_has_no_seat() {
+    let site = Site::new();
+    let mut core = founded(&site);
+    core[2].kill();
+    let _successor = site.control(SUCCESSOR, &CORE, false);
+    until("the successor votes", || votes(&site, 11, SUCCESSOR));
+    site.put(11, 5, &configuration(6, &[("c", json!({}))]));
+    core[2] = site.control(13, &CORE, false);
+    until("it has learned that it has no seat", || {
+        replica(&site, 13, 13).is_none_or(|own| own["has_seat"] == json!(false))
+    });
+    site.until_revision(13, 6);
+    // With it alone there is no quorum.
+    core[0].kill();
+    core[1].kill();
+    let next = configuration(7, &[("d", json!({}))]).to_string();
+    for _ in 0..2 {
+        let answer = call(site.at(13, CONTROL), "PUT", "/-/config", Some(6), &next);
+        assert!(answer.as_ref().is_none_or(|(status, _)| *status == 503), "{answer:?}");
+    }
+}
+
+#[test]
+fn restart_without_a_successor_takes_no_longer_than_a_hand_over() {
+    let site = Site::new();
+    let mut core = founded(&site);
+    let told = Instant::now();
+    core[2].signal("TERM");
+    core[2].end();
+    assert!(told.elapsed() < Duration::from_millis(1500), "{:?}", told.elapsed());
+    core[2] = site.control(13, &CORE, false);
+    until("it votes again", || votes(&site, 11, 13));
+}
--- a/control/src/lib.rs
+++ b/control/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod membership;
 pub mod partition;
 mod reconfiguration;
+pub mod report;
 pub mod routers;
 pub mod server_list;
 mod server_list_duty;
--- a/system/src/control.rs
+++ b/system/src/control.rs
@@ -29,6 +29,7 @@
 use crate::disk::Disk;
 use crate::http::{self, Call};
 use crate::link::{self, Writer};
+use crate::status;
 
 /// Pause between two ticks.
 const TICK: Duration = Duration::from_millis(100);
@@ -381,6 +382,10 @@
     async fn control(self: Rc<Self>, call: Call) -> http::Answer {
         let segments: Vec<&str> = call.segments.iter().map(String::as_str).collect();
         let request = match (&call.method, segments.as_slice()) {
+            (&Method::GET, ["-", "status"]) => {
+                let report = self.plane.borrow().report();
+                return http::json(StatusCode::OK, status::text(&report));
+            }
             (&Method::GET, ["-", "config"]) => AdminRequest::Read,
             (&Method::PUT | &Method::PATCH, ["-", "config"]) => {
                 let base = http::header(&call.headers, &IF_MATCH).map(|text| text.trim_matches('"').parse());
--- a/system/src/lib.rs
+++ b/system/src/lib.rs
@@ -11,6 +11,7 @@
 mod link;
 mod logging;
 mod router;
+mod status;
 
 use std::process::ExitCode;
 
