--- /dev/null
+++ b/control/tests/common/cluster.rs
@@ -0,0 +1,164 @@
+//! Control nodes in virtual time, on links and disks that do no harm by themselves.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use ivyhatch_control::stored::Stored;
+use ivyhatch_control::{ControlPlane, Identity, Input, Output, Record, RequestId, Token};
+use ivyhatch_protocol::ids::NodeId;
+use ivyhatch_protocol::peer::{AdminRequest, AdminResponse, Peer, ReplicaStatus};
+use ivyhatch_protocol::{MILLISECOND, Nanos, SECOND};
+use speedy::Writable;
+
+const TICK: Nanos = 100 * MILLISECOND;
+const DELAY: Nanos = 5 * MILLISECOND;
+const SYNC: Nanos = 2 * MILLISECOND;
+
+enum Event {
+    Tick(u64),
+    Arrives(NodeId, Peer),
+    Stored(u64, Token, Vec<Record>),
+}
+
+struct Member {
+    plane: ControlPlane,
+    incarnation: u64,
+    disk: Stored,
+    /// Bytes that other nodes have sent to it.
+    received: u64,
+}
+
+/// Nodes, each in a zone of its own unless it takes another's place.
+#[derive(Default)]
+pub struct Cluster {
+    now: Nanos,
+    queue: BTreeMap<(Nanos, u64), (NodeId, Event)>,
+    queued: u64,
+    members: BTreeMap<NodeId, Member>,
+    starts: u64,
+    responses: BTreeMap<RequestId, AdminResponse>,
+    requests: RequestId,
+}
+
+impl Cluster {
+    /// Three nodes, and the first membership.
+    pub fn founded() -> Self {
+        let mut cluster = Self::default();
+        for node in 1..=3 {
+            cluster.start(node, node, Stored::default(), true);
+        }
+        cluster.run_until("the membership is founded", |cluster| (1..=3).all(|node| cluster.votes(node)));
+        cluster
+    }
+
+    /// Starts a node in the zone of this one, with what is on its disk.
+    pub fn start(&mut self, node: u32, zone: u32, disk: Stored, first_start: bool) {
+        self.starts += 1;
+        let identity = Identity {
+            node: NodeId(node),
+            zone: format!("zone-{zone}"),
+            incarnation: self.starts << 32,
+            has_disk: true,
+            first_start,
+            seeds: (1..=3).map(NodeId).collect(),
+            zones: BTreeSet::from(["zone-1".to_owned()]),
+            list_every: SECOND,
+            grace: 6 * SECOND,
+        };
+        let incarnation = identity.incarnation;
+        let plane = ControlPlane::new(identity, disk.clone(), self.now);
+        self.members.insert(NodeId(node), Member { plane, incarnation, disk, received: 0 });
+        self.after(0, NodeId(node), Event::Tick(incarnation));
+    }
+
+    /// Stops a node; what its disk holds.
+    pub fn stop(&mut self, node: u32) -> Stored {
+        self.members.remove(&NodeId(node)).expect("it runs").disk
+    }
+
+    pub fn plane(&self, node: u32) -> &ControlPlane {
+        &self.members[&NodeId(node)].plane
+    }
+
+    pub fn disk(&self, node: u32) -> &Stored {
+        &self.members[&NodeId(node)].disk
+    }
+
+    pub fn now(&self) -> Nanos {
+        self.now
+    }
+
+    /// Bytes that a node was sent since its start.
+    pub fn received(&self, node: u32) -> u64 {
+        self.members[&NodeId(node)].received
+    }
+
+    pub fn votes(&self, node: u32) -> bool {
+        self.plane(node).status() == ReplicaStatus::Voter
+    }
+
+    /// An operator's request at a node, and the response.
+    pub fn request(&mut self, node: u32, request: AdminRequest) -> AdminResponse {
+        self.requests += 1;
+        let id = self.requests;
+        self.input(NodeId(node), Input::Admin(id, request));
+        self.run_until("the request is answered", |cluster| cluster.responses.contains_key(&id));
+        self.responses.remove(&id).expect("it is answered")
+    }
+
+    /// Lets time pass until this holds.
+    pub fn run_until(&mut self, what: &str, mut done: impl FnMut(&Self) -> bool) {
+        let end = self.now + 20 * SECOND;
+        while !done(self) {
+            assert!(self.now < end, "in vain: {what}");
+            let ((at, _), (node, event)) = self.queue.pop_first().expect("nodes tick");
+            self.now = at;
+            self.happens(node, event);
+        }
+    }
+
+    fn after(&mut self, after: Nanos, node: NodeId, event: Event) {
+        self.queued += 1;
+        self.queue.insert((self.now + after, self.queued), (node, event));
+    }
+
+    fn happens(&mut self, node: NodeId, event: Event) {
+        let runs =
+            |incarnation| self.members.get(&node).is_some_and(|member| member.incarnation == incarnation);
+        match event {
+            Event::Tick(incarnation) if runs(incarnation) => {
+                self.input(node, Input::Tick);
+                self.after(TICK, node, Event::Tick(incarnation));
+            }
+            Event::Stored(incarnation, token, records) if runs(incarnation) => {
+                let member = self.members.get_mut(&node).expect("it runs");
+                records.into_iter().for_each(|record| member.disk.apply(record));
+                self.input(node, Input::Stored(token));
+            }
+            Event::Arrives(from, message) => {
+                let Some(member) = self.members.get_mut(&node) else { return };
+                member.received += message.write_to_vec().map_or(0, |bytes| bytes.len() as u64);
+                self.input(node, Input::Peer(from, message));
+            }
+            Event::Tick(_) | Event::Stored(..) => {}
+        }
+    }
+
+    fn input(&mut self, node: NodeId, input: Input) {
+        let now = self.now;
+        let Some(member) = self.members.get_mut(&node) else { return };
+        let (incarnation, mut outputs) = (member.incarnation, Vec::new());
+        member.plane.handle(now, input, &mut outputs);
+        for output in outputs {
+            match output {
+                Output::Send(to, message) => self.after(DELAY, to, Event::Arrives(node, message)),
+                Output::Store(token, records) => {
+                    self.after(SYNC, node, Event::Stored(incarnation, token, records));
+                }
+                Output::Respond(id, response) => {
+                    self.responses.insert(id, response);
+                }
+                _ => {}
+            }
+        }
+    }
+}
--- /dev/null
+++ b/control/tests/long_histories.rs
@@ -0,0 +1,132 @@
+//! After hundreds and thousands of changes a node that restarts, comes back with an empty disk, or takes another's place is as soon and
+//! as cheaply up to date as after ten.
+
+#[path = "common/cluster.rs"]
+mod cluster;
+
+use cluster::Cluster;
+use googletest::prelude::*;
+use ivyhatch_control::stored::Stored;
+use ivyhatch_protocol::ids::Part;
+use ivyhatch_protocol::peer::{AdminRequest, AdminResponse};
+use ivyhatch_protocol::{Nanos, SECOND};
+use speedy::Writable;
+
+const HISTORIES: [u64; 3] = [10, 300, 3_000];
+/// Routes of a configuration.
+const ROUTES: u64 = 200;
+/// The successor of the third node.
+const SUCCESSOR: u32 = 4;
+/// A node that is back counts within this, however long the history: a restart, a lost disk, a replacement (which waits for two seconds
+/// of silence).
+const RESTART_LIMIT: Nanos = SECOND;
+const WIPE_LIMIT: Nanos = SECOND;
+const REPLACEMENT_LIMIT: Nanos = 3 * SECOND;
+/// Whatever a node that is back is sent, against what it has in the end.
+const MOST_COPIES: u64 = 12;
+
+fn body(revision: u64) -> Vec<u8> {
+    let route = |number: u64| {
+        let timeout = 1 + (revision + number) % 1_000;
+        format!(
+            r#"{{"name":"r{number}","host":"h","path_prefix":"/{number}/","route_kind":"safe","timeout_ms":{timeout},"service":"s"}}"#
+        )
+    };
+    let routes: Vec<String> = (0..ROUTES).map(route).collect();
+    format!(r#"{{"revision":{revision},"services":[{{"name":"s"}}],"routes":[{}]}}"#, routes.join(","))
+        .into_bytes()
+}
+
+/// Three nodes after so many changes.
+fn after_changes(changes: u64) -> Cluster {
+    let mut cluster = Cluster::founded();
+    for revision in 1..=changes {
+        let request = AdminRequest::Put { base: revision - 1, body: body(revision) };
+        let response = cluster.request(1 + (revision % 3) as u32, request);
+        assert_eq!(response, AdminResponse::Taken { revision });
+    }
+    cluster
+}
+
+fn sequence(cluster: &Cluster, node: u32) -> u64 {
+    cluster.plane(node).committed_state(Part::CONFIGURATION).0
+}
+
+/// How long a node takes until it votes and knows all changes, and how many bytes it is sent.
+fn catch_up(cluster: &mut Cluster, node: u32, changes: u64) -> (Nanos, u64) {
+    let started = cluster.now();
+    cluster
+        .run_until("it is up to date", |cluster| cluster.votes(node) && sequence(cluster, node) == changes);
+    (cluster.now() - started, cluster.received(node))
+}
+
+fn stored_bytes(stored: &Stored) -> u64 {
+    stored.records().iter().map(|record| record.write_to_vec().map_or(0, |bytes| bytes.len() as u64)).sum()
+}
+
+/// Plays the same after each history: the time and the bytes stay within bounds that do not know how long the history is.
+fn holds_for_each_history(name: &str, limit: Nanos, node: u32, back: impl Fn(&mut Cluster)) {
+    for changes in HISTORIES {
+        let mut cluster = after_changes(changes);
+        back(&mut cluster);
+        let (time, bytes) = catch_up(&mut cluster, node, changes);
+        let state = stored_bytes(cluster.disk(1));
+        println!(
+            "{name} after {changes} changes: {} ms, {bytes} bytes, state {state} bytes",
+            time / 1_000_000
+        );
+        expect_that!(time, le(limit), "{changes}");
+        expect_that!(bytes, le(MOST_COPIES * state), "{changes}");
+        let next = AdminRequest::Put { base: changes, body: body(changes + 1) };
+        expect_that!(cluster.request(node, next), eq(&AdminResponse::Taken { revision: changes + 1 }));
+    }
+}
+
+#[gtest]
+fn restarted_node_is_up_to_date_in_bounded_time() {
+    holds_for_each_history("restart", RESTART_LIMIT, 3, |cluster| {
+        let disk = cluster.stop(3);
+        cluster.start(3, 3, disk, false);
+    });
+}
+
+#[gtest]
+fn node_that_was_away_for_many_changes_is_up_to_date_in_bounded_time() {
+    for changes in [10, 300] {
+        let mut cluster = Cluster::founded();
+        let disk = cluster.stop(3);
+        for revision in 1..=changes {
+            let request = AdminRequest::Put { base: revision - 1, body: body(revision) };
+            cluster.request(1 + (revision % 2) as u32, request);
+        }
+        cluster.start(3, 3, disk, false);
+        let (time, bytes) = catch_up(&mut cluster, 3, changes);
+        println!("away for {changes} changes: {} ms, {bytes} bytes", time / 1_000_000);
+        expect_that!(time, le(RESTART_LIMIT));
+    }
+}
+
+#[gtest]
+fn node_that_has_lost_its_disk_votes_again_in_bounded_time() {
+    holds_for_each_history("wipe", WIPE_LIMIT, 3, |cluster| {
+        cluster.stop(3);
+        cluster.start(3, 3, Stored::default(), false);
+    });
+}
+
+#[gtest]
+fn successor_votes_in_bounded_time() {
+    holds_for_each_history("replacement", REPLACEMENT_LIMIT, SUCCESSOR, |cluster| {
+        cluster.stop(3);
+        cluster.start(SUCCESSOR, 3, Stored::default(), false);
+    });
+}
+
+#[gtest]
+fn order_that_was_taken_hundreds_of_changes_ago_is_acknowledged_again_and_its_rival_is_not() {
+    let mut cluster = after_changes(300);
+    let again = AdminRequest::Put { base: 4, body: body(5) };
+    expect_that!(cluster.request(2, again), eq(&AdminResponse::Taken { revision: 300 }));
+    let rival = AdminRequest::Put { base: 4, body: body(6) };
+    expect_that!(cluster.request(2, rival), eq(&AdminResponse::Conflict { revision: 300 }));
+}
