--- a/cli/tests/system_membership.rs
+++ b/cli/tests/system_membership.rs
@@ -118,3 +118,21 @@
     core[2] = site.control(13, &CORE, false);
     until("it votes again", || votes(&site, 11, 13));
 }
+
+#[test]
+fn successor_with_dead_seeds_joins_once_its_settings_name_live_ones() {
+    let site = Site::new();
+    let mut core = founded(&site);
+    core[2].kill();
+    let nobody = [17, 18, 19];
+    let _successor = site.control(SUCCESSOR, &nobody, false);
+    // It serves nothing, and says so.
+    until("it answers", || call(site.at(SUCCESSOR, CONTROL), "GET", "/-/status", None, "").is_some());
+    let answer = call(site.at(SUCCESSOR, CONTROL), "GET", "/-/config", None, "");
+    assert!(answer.as_ref().is_none_or(|(status, _)| *status == 503), "{answer:?}");
+    // The file changes without a signal.
+    let settings = site.settings(SUCCESSOR, &CORE, false);
+    std::fs::write(site.settings_file(SUCCESSOR), settings.to_string()).expect("it is written");
+    until("the successor votes", || votes(&site, 11, SUCCESSOR));
+    site.until_revision(SUCCESSOR, 5);
+}
--- a/system/src/control.rs
+++ b/system/src/control.rs
@@ -1,6 +1,6 @@
 //! The role that serves control and the directory: carries out what a control node decides.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddrV4;
 use std::rc::Rc;
@@ -11,11 +11,11 @@
 use ivyhatch_control::server_list::ReadId;
 use ivyhatch_control::stored::Stored;
 use ivyhatch_control::{ControlPlane, Identity, Input, Output, RequestId, SessionId, Token};
-use ivyhatch_protocol::MILLISECOND;
 use ivyhatch_protocol::feed::{FromFollower, Server};
 use ivyhatch_protocol::ids::{NodeId, hash, mix};
 use ivyhatch_protocol::peer::{AdminRequest, AdminResponse, Peer};
 use ivyhatch_protocol::settings::Settings;
+use ivyhatch_protocol::{MILLISECOND, Nanos, SECOND};
 use tokio::io::AsyncReadExt;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::signal::unix::{SignalKind, signal};
@@ -47,6 +47,8 @@
 
 /// An operator's request that was not answered for so long gets a 503.
 const ADMIN_TIMEOUT: Duration = Duration::from_secs(2);
+/// A node without contact to a quorum reads its settings anew after this.
+const REREAD_INTERVAL: Nanos = 2 * SECOND;
 /// A process that was told to end does so this long before it would be killed.
 const GRACE_MARGIN: Duration = Duration::from_millis(1500);
 
@@ -61,6 +63,8 @@
     disk: Option<Disk>,
     list: mpsc::UnboundedSender<ReadId>,
     left: Notify,
+    /// When the settings were read last.
+    reread_at: Cell<Nanos>,
     settings: Settings,
 }
 
@@ -118,6 +122,7 @@
         disk,
         list,
         left: Notify::new(),
+        reread_at: Cell::new(0),
         settings,
     });
     if let Some(told) = stored_up_to {
@@ -140,6 +145,7 @@
         loop {
             ticks.tick().await;
             ticking.hear(Input::Tick);
+            ticking.reread_without_contact();
         }
     });
     loop {
@@ -168,14 +174,18 @@
         incarnation: life,
         has_disk,
         first_start: settings.first_start,
-        seeds: settings.seeds.iter().map(|seed| NodeId::from(*seed.ip())).collect(),
+        seeds: seeds(settings),
         zones: settings.zones.keys().cloned().collect::<BTreeSet<_>>(),
         list_every: pace as u64 * MILLISECOND,
         grace: grace(settings),
     }
 }
 
-fn grace(settings: &Settings) -> ivyhatch_protocol::Nanos {
+fn seeds(settings: &Settings) -> Vec<NodeId> {
+    settings.seeds.iter().map(|seed| NodeId::from(*seed.ip())).collect()
+}
+
+fn grace(settings: &Settings) -> Nanos {
     let grace = Duration::try_from_secs_f64(settings.bounds.grace_s).unwrap_or_default();
     grace.saturating_sub(GRACE_MARGIN).as_nanos() as u64
 }
@@ -346,13 +356,24 @@
         }
     }
 
+    /// A settings file may change without a signal: a node that finds nobody looks whether it names others now.
+    fn reread_without_contact(self: &Rc<Self>) {
+        let now = self.clock.now();
+        if self.plane.borrow().has_quorum() || now < self.reread_at.get() + REREAD_INTERVAL {
+            return;
+        }
+        self.reread_at.set(now);
+        if let Ok(settings) = Settings::from_environment() {
+            self.hear(Input::Seeds(seeds(&settings)));
+        }
+    }
+
     /// Takes the seeds of a settings file that has changed.
     fn reread(self: &Rc<Self>) {
         match Settings::from_environment() {
             Ok(settings) => {
-                let seeds = settings.seeds.iter().map(|seed| NodeId::from(*seed.ip())).collect();
-                log::info!("event=settings_read_anew seeds={seeds:?}");
-                self.hear(Input::Seeds(seeds));
+                log::info!("event=settings_read_anew seeds={:?}", settings.seeds);
+                self.hear(Input::Seeds(seeds(&settings)));
             }
             Err(error) => log::warn!("event=old_settings_stay error={:?}", error.to_string()),
         }
--- a/world/src/run.rs
+++ b/world/src/run.rs
@@ -79,6 +79,8 @@
     Gone(usize, u64),
     /// A process is told to end.
     Leave(usize),
+    /// The settings of a follower name the machines that are there now.
+    Settings(usize),
     Sample,
 }
 
@@ -248,6 +250,7 @@
                     self.gone(machine);
                 }
             }
+            Happening::Settings(follower) => self.settings_read(follower),
             Happening::Leave(machine) => {
                 if self.runs(machine, None, || Happening::Leave(machine)) {
                     self.hear(machine, Input::Leave);
--- a/world/src/run/followers.rs
+++ b/world/src/run/followers.rs
@@ -100,6 +100,12 @@
         self.after(0, Happening::FollowerTick(follower, life));
     }
 
+    /// A follower reads its settings anew.
+    pub(super) fn settings_read(&mut self, follower: usize) {
+        let seeds = self.slots.iter().map(|machine| address(*machine)).collect();
+        self.follower_hears(follower, Heard::Seeds(seeds));
+    }
+
     pub(super) fn follower_stop(&mut self, follower: usize) {
         let this = &mut self.routers[follower];
         if this.follower.take().is_none() {
--- a/world/src/run/troubles.rs
+++ b/world/src/run/troubles.rs
@@ -9,6 +9,8 @@
 const KILLED_AFTER: Nanos = 8 * SECOND;
 /// The successor of a machine that is cut off comes so long after the cut.
 const SUCCESSOR_AFTER: Nanos = SECOND;
+/// The settings of others name a successor so long after it has come (`seed_lag_s`).
+const SETTINGS_AFTER: Nanos = 3 * SECOND;
 /// A loss that has to wait its turn is tried again after this.
 const TURN_AGAIN: Nanos = 250 * MILLISECOND;
 
@@ -120,6 +122,12 @@
         self.machines[successor].place = self.machines[old].place;
         self.machines[successor].await_state();
         let life = self.machines[old].life;
+        // Followers of one machine alone hear of its successor from it, or from their settings.
+        if self.plan.members == 1 {
+            for follower in 0..self.plan.followers {
+                self.after(SETTINGS_AFTER, Happening::Settings(follower));
+            }
+        }
         match how {
             Replacement::Gone => {
                 self.gone(old);
