The membership test waits for the new replica of a wiped machine, not for the former one

Cause: for 0.85 s after its end a voter's former replica still shows as voting; the test killed the next machine then, beyond what is borne. It waits for another replica's vote now, which is stricter.

--- a/cli/tests/system_membership.rs
+++ b/cli/tests/system_membership.rs
@@ -58,8 +58,12 @@
     site.put(SUCCESSOR, 6, &configuration(7, &[("d", json!({}))]));
     site.until_revision(12, 7);
     // The machine that lost its disk comes back, as another replica.
+    let former = replica(&site, 12, 11).expect("it had a seat")["replica"].clone();
     core[0] = site.control(11, &[11, 12, 13], false);
-    until("it votes again", || votes(&site, 12, 11));
+    // Its former replica is not counted as silent at once.
+    until("it votes again", || {
+        votes(&site, 12, 11) && replica(&site, 12, 11).is_some_and(|now| now["replica"] != former)
+    });
     core[1].kill();
     site.until_revision(11, 7);
     site.put(11, 7, &configuration(8, &[("e", json!({}))]));
