--- a/cli/tests/system_calls.rs
+++ b/cli/tests/system_calls.rs
@@ -421,7 +421,8 @@
             }
             let (id, text) = trial.request(LONG_MS);
             let mut client = trial.connect();
-            client.write(text.as_bytes());
+            // An answer that is shorter than that ends with its connection.
+            client.write(text.replacen("\r\n", "\r\nConnection: close\r\n", 1).as_bytes());
             client.skip(at);
             if at.is_multiple_of(2) {
                 client.reset()
--- /dev/null
+++ b/cli/tests/system_refusals.rs
@@ -0,0 +1,97 @@
+//! Refusals by servers, and what a router may conclude from them: that nothing ran, for this request, or nothing at all.
+
+mod system_common;
+
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+
+use serde_json::{Value, json};
+use system_common::calls::{ask, get, request};
+use system_common::server::{Gate, STAMP, Server, Step, id, ok, whole};
+use system_common::{FRONT, ROUTER, Site, configuration};
+
+/// One route whose requests may run more than once, and one whose requests may not.
+fn both_kinds() -> Value {
+    configuration(1, &[("safe", json!({})), ("unsafe", json!({"route_kind": "unsafe"}))])
+}
+
+/// Clients take these statuses for a promise that the request did not run; only a server that says so has not run it.
+#[test]
+fn refusal_that_does_not_say_that_nothing_ran_is_no_promise() {
+    for status in [408, 429, 503] {
+        let site = Site::new();
+        let servers = site.pair(move |_, asked| {
+            vec![Step::Writes(whole(status, &format!("{}{STAMP}", id(asked.id())), b"failed"))]
+        });
+        let _served = site.serving(&[&servers[0], &servers[1]], &both_kinds());
+        let answer = ask(site.at(ROUTER, FRONT), &request("r1", "POST", "/unsafe/x", "", b""));
+        let count: usize = servers.iter().map(Server::count).sum();
+        assert_eq!((answer.head.status, count), (502, 1), "{status}: {answer:?}");
+        assert_eq!(answer.head.value("ivyhatch-server-stamp"), None, "no server gave this status");
+    }
+}
+
+#[test]
+fn server_that_falls_silent_in_its_refusal_holds_nobody_up() {
+    let gate = Arc::new(Gate::default());
+    let site = Site::new();
+    let held = gate.clone();
+    let servers = site.pair(move |turn, asked| {
+        let part = format!(
+            "HTTP/1.1 503 X\r\n{}Ivyhatch-Not-Executed: 1\r\nContent-Length: 9\r\n\r\nfu",
+            id(asked.id())
+        );
+        let silent = vec![Step::Writes(part.into_bytes()), Step::Waits(held.clone())];
+        if turn == 0 { silent } else { ok(asked, b"second") }
+    });
+    let _served = site.serving(&[&servers[0], &servers[1]], &both_kinds());
+    let answer = ask(site.at(ROUTER, FRONT), &request("r1", "POST", "/unsafe/x", "", b""));
+    assert_eq!(
+        (answer.head.status, answer.body.as_slice(), servers.iter().map(Server::count).sum::<usize>()),
+        (200, &b"second"[..], 2),
+        "{answer:?}"
+    );
+    gate.open();
+}
+
+/// The request goes to its one server again; the refusal's copy has the same id, and only the connection tells it from an answer.
+#[test]
+fn late_copy_of_a_refusal_is_not_taken_for_the_answer_to_the_next_attempt() {
+    let site = Site::new();
+    let server = site.server(("i-1", "s", "za"), |asked| {
+        let refuses =
+            Step::Writes(whole(503, &format!("{}Ivyhatch-Not-Executed: 1\r\n", id(asked.id())), b""));
+        match (asked.number, asked.on_connection) {
+            (0, _) => vec![refuses],
+            (_, 0) => ok(asked, b"own"),
+            _ => [vec![refuses], ok(asked, b"own")].concat(),
+        }
+    });
+    let _served = site.serving(&[&server], &both_kinds());
+    let answer = ask(site.at(ROUTER, FRONT), &request("r1", "POST", "/unsafe/x", "", b""));
+    assert_eq!(
+        (answer.head.status, answer.body.as_slice(), server.count()),
+        (200, &b"own"[..], 2),
+        "{answer:?}"
+    );
+}
+
+/// Servers send each answer with its request's id. Without one, a refusal on a connection that has carried another request may be
+/// that one's.
+#[test]
+fn late_refusal_without_an_id_is_no_promise() {
+    let site = Site::new();
+    let server = site.server(("i-1", "s", "za"), |asked| {
+        let refuses = Step::Writes(whole(503, "Ivyhatch-Not-Executed: 1\r\n", b""));
+        let own = ok(asked, b"own");
+        if asked.on_connection == 0 { own } else { [vec![refuses], own].concat() }
+    });
+    let _served = site.serving(&[&server], &both_kinds());
+    let at = site.at(ROUTER, FRONT);
+    assert_eq!(ask(at, &get("r1", "/safe/x")).body, b"own");
+    // Once it has rested, the connection is used again.
+    thread::sleep(Duration::from_millis(20));
+    let answer = ask(at, &request("r2", "POST", "/unsafe/x", "", b""));
+    assert_eq!((answer.head.status, server.count()), (502, 2), "{answer:?}");
+}
--- a/cli/tests/system_requests.rs
+++ b/cli/tests/system_requests.rs
@@ -304,18 +304,6 @@
     );
 }
 
-/// Clients take these statuses for a promise that the request did not run; only a server that says so has not run it.
-#[test]
-fn refusal_that_does_not_say_that_nothing_ran_is_no_promise() {
-    for status in [408, 429, 503] {
-        let [_, once] = against(move |asked| {
-            vec![Step::Writes(whole(status, &format!("{}{STAMP}", id(asked.id())), b"failed"))]
-        });
-        assert_eq!((once.0.head.status, once.1), (502, 1), "{status}: {once:?}");
-        assert_eq!(once.0.head.value("ivyhatch-server-stamp"), None, "no server gave this status");
-    }
-}
-
 #[test]
 fn bytes_behind_a_whole_answer_belong_to_no_request() {
     for more in ["same", "other", "garbage"] {
@@ -363,70 +351,6 @@
     }
 }
 
-#[test]
-fn server_that_falls_silent_in_its_refusal_holds_nobody_up() {
-    let gate = std::sync::Arc::new(Gate::default());
-    let site = Site::new();
-    let held = gate.clone();
-    let servers = site.pair(move |turn, asked| {
-        let part = format!(
-            "HTTP/1.1 503 X\r\n{}Ivyhatch-Not-Executed: 1\r\nContent-Length: 9\r\n\r\nfu",
-            id(asked.id())
-        );
-        let silent = vec![Step::Writes(part.into_bytes()), Step::Waits(held.clone())];
-        if turn == 0 { silent } else { ok(asked, b"second") }
-    });
-    let _served = site.serving(&[&servers[0], &servers[1]], &usual());
-    let answer = ask(site.at(ROUTER, FRONT), &request("r1", "POST", "/unsafe/x", "", b""));
-    assert_eq!(
-        (answer.head.status, answer.body.as_slice(), counts(&servers)),
-        (200, &b"second"[..], 2),
-        "{answer:?}"
-    );
-    gate.open();
-}
-
-/// The request goes to its one server again; the refusal's copy has the same id, and only the connection tells it from an answer.
-#[test]
-fn late_copy_of_a_refusal_is_not_taken_for_the_answer_to_the_next_attempt() {
-    let site = Site::new();
-    let server = site.server(("i-1", "s", "za"), |asked| {
-        let refuses =
-            Step::Writes(whole(503, &format!("{}Ivyhatch-Not-Executed: 1\r\n", id(asked.id())), b""));
-        match (asked.number, asked.on_connection) {
-            (0, _) => vec![refuses],
-            (_, 0) => ok(asked, b"own"),
-            _ => [vec![refuses], ok(asked, b"own")].concat(),
-        }
-    });
-    let _served = site.serving(&[&server], &usual());
-    let answer = ask(site.at(ROUTER, FRONT), &request("r1", "POST", "/unsafe/x", "", b""));
-    assert_eq!(
-        (answer.head.status, answer.body.as_slice(), server.count()),
-        (200, &b"own"[..], 2),
-        "{answer:?}"
-    );
-}
-
-/// Servers send each answer with its request's id. Without one, a refusal on a connection that has carried another request may be
-/// that one's.
-#[test]
-fn late_refusal_without_an_id_is_no_promise() {
-    let site = Site::new();
-    let server = site.server(("i-1", "s", "za"), |asked| {
-        let refuses = Step::Writes(whole(503, "Ivyhatch-Not-Executed: 1\r\n", b""));
-        let own = ok(asked, b"own");
-        if asked.on_connection == 0 { own } else { [vec![refuses], own].concat() }
-    });
-    let _served = site.serving(&[&server], &usual());
-    let at = site.at(ROUTER, FRONT);
-    assert_eq!(ask(at, &get("r1", "/safe/x")).body, b"own");
-    // Once it has rested, the connection is used again.
-    thread::sleep(Duration::from_millis(20));
-    let answer = ask(at, &request("r2", "POST", "/unsafe/x", "", b""));
-    assert_eq!((answer.head.status, server.count()), (502, 2), "{answer:?}");
-}
-
 #[test]
 fn a_server_that_does_not_listen_is_passed_over() {
     let site = Site::new();
