--- a/control/src/feed.rs
+++ b/control/src/feed.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, VecDeque};
 
 use ivyhatch_protocol::configuration::{Change, Document};
-use ivyhatch_protocol::feed::{Evacuations, Position, ToFollower};
+use ivyhatch_protocol::feed::{Evacuations, Position, Shared, ToFollower};
 use ivyhatch_protocol::ids::Part;
 
 use crate::state::State;
@@ -17,8 +17,8 @@
 #[derive(Debug, Default)]
 pub struct Feed {
     sequence: u64,
-    document: Document,
-    changes: VecDeque<(u64, u64, Change)>,
+    document: Shared<Document>,
+    changes: VecDeque<(u64, u64, Shared<Change>)>,
     evacuations: BTreeMap<Part, Evacuations>,
 }
 
@@ -41,12 +41,13 @@
             return;
         }
         if self.sequence > 0 {
-            self.changes.push_back((self.sequence, sequence, self.document.change_to(&document)));
+            let change = self.document.change_to(&document);
+            self.changes.push_back((self.sequence, sequence, change.into()));
         }
         while self.changes.len() > KEPT {
             self.changes.pop_front();
         }
-        (self.sequence, self.document) = (sequence, document);
+        (self.sequence, self.document) = (sequence, document.into());
     }
 
     /// The configuration.
--- a/protocol/src/configuration.rs
+++ b/protocol/src/configuration.rs
@@ -4,7 +4,7 @@
 //! Every list of objects with a `name` is a section, also one that this version does not know: it is kept, changed by name and
 //! given back whole.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 use figment::Figment;
 use figment::providers::{Format, Json};
@@ -311,6 +311,18 @@
     }
 }
 
+/// Replaces items by name; new ones are added at the end. Of two of one name the later one stays.
+fn upsert_items(items: &mut Vec<Item>, upsert: &[Item]) {
+    let mut latest: HashMap<&str, &Item> = upsert.iter().map(|item| (item.name.as_str(), item)).collect();
+    for item in items.iter_mut() {
+        if let Some(new) = latest.remove(item.name.as_str()) {
+            item.clone_from(new);
+        }
+    }
+    let added = upsert.iter().filter_map(|item| latest.remove(item.name.as_str())).cloned();
+    items.extend(added);
+}
+
 impl Document {
     /// Reads a whole configuration.
     ///
@@ -355,10 +367,17 @@
     /// # Errors
     /// Where a field is missing or of the wrong kind; the error names it.
     pub fn view(&self) -> Result<Configuration, ConfigurationError> {
-        let read = Figment::from(Json::string(&self.text())).extract();
-        read.map_err(|error: figment::Error| {
-            let path: Vec<&str> = error.path.iter().map(String::as_str).collect();
-            ConfigurationError::Field(format!("{}: {}", path.join("."), error.kind))
+        let text = self.text();
+        // Reading by way of `figment` takes ten times as long: only the place of an error is worth it.
+        serde_json::from_str(&text).map_err(|error| {
+            let named = Figment::from(Json::string(&text)).extract::<Configuration>();
+            match named {
+                Ok(_) => ConfigurationError::Field(error.to_string()),
+                Err(named) => {
+                    let path: Vec<&str> = named.path.iter().map(String::as_str).collect();
+                    ConfigurationError::Field(format!("{}: {}", path.join("."), named.kind))
+                }
+            }
         })
     }
 
@@ -409,33 +428,27 @@
     #[must_use]
     pub fn with(&self, change: &Change) -> Self {
         let mut changed = self.clone();
-        changed.revision = change.revision;
+        changed.apply(change);
+        changed
+    }
+
+    /// Makes a change to this configuration.
+    pub fn apply(&mut self, change: &Change) {
+        self.revision = change.revision;
         for (section, names) in &change.remove {
             let names: BTreeSet<&str> = names.iter().map(String::as_str).collect();
-            let items = changed.sections.entry(section.clone()).or_default();
+            let items = self.sections.entry(section.clone()).or_default();
             items.retain(|item| !names.contains(item.name.as_str()));
         }
         for (section, upsert) in &change.upsert {
-            let items = changed.sections.entry(section.clone()).or_default();
-            let mut at: BTreeMap<String, usize> =
-                items.iter().enumerate().map(|(at, item)| (item.name.clone(), at)).collect();
-            for item in upsert {
-                match at.get(&item.name) {
-                    Some(&at) => items[at] = item.clone(),
-                    None => {
-                        at.insert(item.name.clone(), items.len());
-                        items.push(item.clone());
-                    }
-                }
-            }
+            upsert_items(self.sections.entry(section.clone()).or_default(), upsert);
         }
         for (name, value) in &change.rest {
             match value {
-                Some(value) => changed.rest.insert(name.clone(), value.clone()),
-                None => changed.rest.remove(name),
+                Some(value) => self.rest.insert(name.clone(), value.clone()),
+                None => self.rest.remove(name),
             };
         }
-        changed
     }
 
     /// What leads from this configuration to another one. Where items have changed their order without a change of their own,
--- a/protocol/src/feed.rs
+++ b/protocol/src/feed.rs
@@ -4,7 +4,10 @@
 //! with another. A follower says how far it is; it gets the changes from there on, or a whole state where they are no longer
 //! kept. It takes nothing that is not newer than what it has.
 
-use speedy::{Readable, Writable};
+use std::ops::Deref;
+use std::sync::Arc;
+
+use speedy::{Context, Readable, Reader, Writable, Writer};
 
 use crate::configuration::{Change, Document};
 use crate::ids::{Epoch, NodeId, Part};
@@ -125,6 +128,70 @@
     },
 }
 
+/// A large part of a message. Clones share it, so that what goes to many followers is held, and can be encoded, once.
+#[derive(Debug, PartialEq, Eq)]
+pub struct Shared<T>(Arc<T>);
+
+impl<T> Shared<T> {
+    /// Whether both are clones of one.
+    pub fn is_same(&self, other: &Self) -> bool {
+        Arc::ptr_eq(&self.0, &other.0)
+    }
+}
+
+impl<T: Clone> Shared<T> {
+    /// The value itself; copied only where it is still shared.
+    pub fn into_inner(self) -> T {
+        Arc::unwrap_or_clone(self.0)
+    }
+}
+
+impl<T> Clone for Shared<T> {
+    fn clone(&self) -> Self {
+        Self(self.0.clone())
+    }
+}
+
+impl<T: Default> Default for Shared<T> {
+    fn default() -> Self {
+        Self::from(T::default())
+    }
+}
+
+impl<T> From<T> for Shared<T> {
+    fn from(value: T) -> Self {
+        Self(Arc::new(value))
+    }
+}
+
+impl<T> Deref for Shared<T> {
+    type Target = T;
+
+    fn deref(&self) -> &T {
+        &self.0
+    }
+}
+
+impl<'a, C: Context, T: Readable<'a, C>> Readable<'a, C> for Shared<T> {
+    fn read_from<R: Reader<'a, C>>(reader: &mut R) -> Result<Self, C::Error> {
+        T::read_from(reader).map(Self::from)
+    }
+
+    fn minimum_bytes_needed() -> usize {
+        T::minimum_bytes_needed()
+    }
+}
+
+impl<C: Context, T: Writable<C>> Writable<C> for Shared<T> {
+    fn write_to<W: ?Sized + Writer<C>>(&self, writer: &mut W) -> Result<(), C::Error> {
+        self.0.write_to(writer)
+    }
+
+    fn bytes_needed(&self) -> Result<usize, C::Error> {
+        self.0.bytes_needed()
+    }
+}
+
 /// To a follower.
 #[derive(Clone, Debug, PartialEq, Readable, Writable)]
 pub enum ToFollower {
@@ -146,7 +213,7 @@
         /// Its number.
         sequence: u64,
         /// The configuration.
-        document: Document,
+        document: Shared<Document>,
     },
     /// A change of the configuration.
     Change {
@@ -155,7 +222,7 @@
         /// The number that it leads to.
         to: u64,
         /// The change.
-        change: Change,
+        change: Shared<Change>,
     },
     /// Evacuations.
     Evacuations(Evacuations),
--- a/protocol/src/frame.rs
+++ b/protocol/src/frame.rs
@@ -1,5 +1,8 @@
 //! How messages stand in a stream of bytes: a word that marks ours, the version, the length, a checksum, the message.
 //!
+//! A message of more than [`FRAGMENT_BYTES`] can be sent as fragments, each of them a frame with its own checksum: other messages
+//! go between them, and their arrival shows that the sender lives.
+//!
 //! What is not a frame of ours ends its connection: behind it there is no telling where the next one begins. Nothing is lost by
 //! that, as whatever was decided stands elsewhere and whoever is behind asks anew.
 
@@ -8,8 +11,16 @@
 /// Marks a frame of ours.
 const MARK: u16 = 0x6976;
 /// The version of the messages. Another one is refused: there is no guessing at what it means.
-pub const VERSION: u16 = 1;
+pub const VERSION: u16 = 2;
 const HEAD: usize = 2 + 2 + 4 + 4;
+/// Set in the length of a frame that carries a fragment of a message.
+const FRAGMENT: u32 = 1 << 31;
+/// Set beside it in the last fragment of a message.
+const LAST_FRAGMENT: u32 = 1 << 30;
+/// The bits of the length itself.
+const LENGTH_BITS: u32 = LAST_FRAGMENT - 1;
+/// The payload of one fragment, in bytes: 13 ms of a link of 10 Mbit/s.
+pub const FRAGMENT_BYTES: usize = 16 * 1024;
 /// No message is longer, in bytes: a whole configuration with all of its history is far below.
 pub const LONGEST: usize = 24 << 20;
 
@@ -60,20 +71,42 @@
 pub fn encode<M: Writable<LittleEndian>>(message: &M) -> Vec<u8> {
     // Writing to memory fails for nothing that the messages hold.
     let body = message.write_to_vec().unwrap_or_default();
+    frame(&body, 0)
+}
+
+/// A message as frames that may be written with other messages between them: fragments, or one frame where it is small.
+pub fn encode_fragments<M: Writable<LittleEndian>>(message: &M) -> Vec<Vec<u8>> {
+    let body = message.write_to_vec().unwrap_or_default();
+    if body.len() <= FRAGMENT_BYTES {
+        return vec![frame(&body, 0)];
+    }
+    let last = (body.len() - 1) / FRAGMENT_BYTES;
+    let flags = |index: usize| if index == last { FRAGMENT | LAST_FRAGMENT } else { FRAGMENT };
+    body.chunks(FRAGMENT_BYTES).enumerate().map(|(index, chunk)| frame(chunk, flags(index))).collect()
+}
+
+fn frame(body: &[u8], flags: u32) -> Vec<u8> {
     let mut bytes = Vec::with_capacity(HEAD + body.len());
     bytes.extend_from_slice(&MARK.to_le_bytes());
     bytes.extend_from_slice(&VERSION.to_le_bytes());
-    bytes.extend_from_slice(&(body.len() as u32).to_le_bytes());
-    bytes.extend_from_slice(&checksum(&body).to_le_bytes());
-    bytes.extend_from_slice(&body);
+    bytes.extend_from_slice(&(body.len() as u32 | flags).to_le_bytes());
+    bytes.extend_from_slice(&checksum(body).to_le_bytes());
+    bytes.extend_from_slice(body);
     bytes
 }
 
+fn read_message<M: for<'a> Readable<'a, LittleEndian>>(body: &[u8]) -> Result<M, FrameError> {
+    M::read_from_buffer(body).map_err(|error| FrameError::Unreadable(error.to_string()))
+}
+
 /// Takes bytes in as they come, and gives messages.
 #[derive(Default)]
 pub struct Decoder {
     bytes: Vec<u8>,
     at: usize,
+    /// The fragments of a message that has not come whole.
+    fragments: Vec<u8>,
+    fragments_taken: u64,
 }
 
 impl Decoder {
@@ -86,11 +119,39 @@
         self.bytes.extend_from_slice(bytes);
     }
 
+    /// How many fragments have come so far. While it grows, a message of many bytes is on its way.
+    pub fn fragments_taken(&self) -> u64 {
+        self.fragments_taken
+    }
+
     /// The next whole message, if it has come.
     ///
     /// # Errors
     /// Where the bytes are no message: the connection is of no further use.
     pub fn message<M: for<'a> Readable<'a, LittleEndian>>(&mut self) -> Result<Option<M>, FrameError> {
+        while let Some((flags, length)) = self.frame()? {
+            let body = &self.bytes[self.at + HEAD..][..length];
+            let message = if flags & FRAGMENT == 0 {
+                Some(read_message(body)?)
+            } else {
+                self.fragments_taken += 1;
+                if self.fragments.len() + length > LONGEST {
+                    return Err(FrameError::TooLong { length: self.fragments.len() + length });
+                }
+                self.fragments.extend_from_slice(body);
+                let last = flags & LAST_FRAGMENT != 0;
+                last.then(|| read_message(&std::mem::take(&mut self.fragments))).transpose()?
+            };
+            self.skip(HEAD + length);
+            if message.is_some() {
+                return Ok(message);
+            }
+        }
+        Ok(None)
+    }
+
+    /// Flags and length of the next frame, once it has come whole and is sound.
+    fn frame(&self) -> Result<Option<(u32, usize)>, FrameError> {
         let rest = &self.bytes[self.at..];
         if rest.len() < HEAD {
             if rest.len() >= 2 && rest[..2] != MARK.to_le_bytes() {
@@ -106,7 +167,7 @@
         if word(2) != VERSION {
             return Err(FrameError::Version { theirs: word(2) });
         }
-        let length = long(4) as usize;
+        let length = (long(4) & LENGTH_BITS) as usize;
         if length > LONGEST {
             return Err(FrameError::TooLong { length });
         }
@@ -114,12 +175,14 @@
         if checksum(body) != long(8) {
             return Err(FrameError::Damaged);
         }
-        let message = M::read_from_buffer(body).map_err(|error| FrameError::Unreadable(error.to_string()))?;
-        self.at += HEAD + length;
+        Ok(Some((long(4) & !LENGTH_BITS, length)))
+    }
+
+    fn skip(&mut self, length: usize) {
+        self.at += length;
         if self.at > 64 * 1024 {
             self.bytes.drain(..self.at);
             self.at = 0;
         }
-        Ok(Some(message))
     }
 }
--- a/protocol/tests/frame.rs
+++ b/protocol/tests/frame.rs
@@ -2,7 +2,9 @@
 
 use googletest::prelude::*;
 use ivyhatch_protocol::feed::FromFollower;
-use ivyhatch_protocol::frame::{Decoder, FrameError, LONGEST, VERSION, encode};
+use ivyhatch_protocol::frame::{
+    Decoder, FRAGMENT_BYTES, FrameError, LONGEST, VERSION, encode, encode_fragments,
+};
 
 fn want() -> FromFollower {
     FromFollower::Want { position: Default::default() }
@@ -47,3 +49,52 @@
     // Sound by its checksum, and no message.
     expect_that!(decoded(&encode(&255_u32)), err(matches_pattern!(FrameError::Unreadable(_))));
 }
+
+#[gtest]
+fn a_small_message_is_not_fragmented() {
+    expect_that!(encode_fragments(&want()), elements_are![eq(&encode(&want()))]);
+    let fits = "x".repeat(FRAGMENT_BYTES - 4);
+    expect_that!(encode_fragments(&fits), elements_are![eq(&encode(&fits))]);
+    expect_that!(encode_fragments(&format!("{fits}x")).len(), eq(2));
+}
+
+#[gtest]
+fn other_messages_come_between_the_fragments_of_a_large_one() {
+    let large = "0123456789abcdef".repeat(5 * FRAGMENT_BYTES / 16);
+    let between = "between".to_owned();
+    let fragments = encode_fragments(&large);
+    expect_that!(fragments.len(), eq(6), "the length of the text comes on top of its bytes");
+    for cut in [1, 7, 4096, 3 * FRAGMENT_BYTES] {
+        let bytes: Vec<u8> =
+            fragments.iter().flat_map(|fragment| [fragment.clone(), encode(&between)].concat()).collect();
+        let (mut decoder, mut came) = (Decoder::default(), Vec::new());
+        for piece in bytes.chunks(cut) {
+            decoder.feed(piece);
+            while let Some(message) = decoder.message::<String>().expect("sound") {
+                came.push(message);
+            }
+        }
+        expect_that!(came.len(), eq(7), "pieces of {cut}");
+        expect_that!(came[..5].iter().all(|message| *message == between), eq(true));
+        expect_that!(came[5] == large, eq(true), "whole once its last fragment has come");
+        expect_that!(came[6], eq(&between));
+        expect_that!(decoder.fragments_taken(), eq(6));
+    }
+}
+
+#[gtest]
+fn each_fragment_is_checked_and_all_together_are_bounded() {
+    let fragments = encode_fragments(&"x".repeat(3 * FRAGMENT_BYTES));
+    let mut damaged = fragments[1].clone();
+    damaged[100] ^= 1;
+    let mut decoder = Decoder::default();
+    decoder.feed(&fragments[0]);
+    decoder.feed(&damaged);
+    expect_that!(decoder.message::<String>(), err(eq(&FrameError::Damaged)));
+    let mut decoder = Decoder::default();
+    let error = (0..=LONGEST / FRAGMENT_BYTES).find_map(|_| {
+        decoder.feed(&fragments[0]);
+        decoder.message::<String>().err()
+    });
+    expect_that!(error, some(eq(&FrameError::TooLong { length: LONGEST + FRAGMENT_BYTES })));
+}
--- a/routing/src/follow.rs
+++ b/routing/src/follow.rs
@@ -28,6 +28,11 @@
 /// of a control node that has been cut off.
 const COUNTED: Nanos = 30 * SECOND;
 
+/// Ticks come every 100 ms. After a gap of this length in what the router hears, the router itself did not run.
+const OWN_STALL: Nanos = 300 * MILLISECOND;
+/// What came during a stall of the router's own is read within this time. No control node is called silent before.
+const CATCH_UP: Nanos = 100 * MILLISECOND;
+
 /// A router that has heard no control node in touch with its group for so long can't know what is ordered now.
 const OUT_OF_TOUCH: Nanos = 400 * MILLISECOND;
 
@@ -42,6 +47,8 @@
     Lost(NodeId),
     /// A control node has said something.
     Message(NodeId, ToFollower),
+    /// A part of a large message has come from a control node; the rest is on its way.
+    Fragment(NodeId),
     /// The settings name these control nodes.
     Seeds(Vec<NodeId>),
     /// How far the router is.
@@ -78,6 +85,8 @@
     position: Position,
     wanted: Nanos,
     ahead_since: Option<Nanos>,
+    /// When a part of a large message came last.
+    fragment_at: Nanos,
 }
 
 /// What a router follows.
@@ -100,6 +109,8 @@
     routers_at: Nanos,
     touched: Nanos,
     touch: bool,
+    /// No control node is called silent before this, after a stall of the router's own.
+    catching_up_until: Nanos,
 }
 
 impl Follower {
@@ -122,11 +133,15 @@
             routers_at: now,
             touched: now,
             touch: true,
+            catching_up_until: 0,
         }
     }
 
     /// Takes one event in and adds what is to be done.
     pub fn handle(&mut self, now: Nanos, heard: Heard, out: &mut Vec<Done>) {
+        if now >= self.now + OWN_STALL {
+            self.catching_up_until = now + CATCH_UP;
+        }
         self.now = self.now.max(now);
         match heard {
             Heard::Tick => {}
@@ -146,6 +161,12 @@
                 }
             }
             Heard::Message(from, message) => self.message(from, message, out),
+            Heard::Fragment(from) => {
+                let now = self.now;
+                if let Some(link) = self.links.get_mut(&from) {
+                    (link.heard, link.fragment_at) = (now, now);
+                }
+            }
             Heard::Seeds(seeds) => self.known.extend(seeds),
             Heard::State(state) => {
                 if std::mem::replace(&mut self.router.state, state) != state {
@@ -153,10 +174,12 @@
                 }
             }
         }
-        self.choose_links(out);
-        self.choose_primary(out);
-        self.ask_for_more(out);
-        self.note_touch(out);
+        if self.now >= self.catching_up_until {
+            self.choose_links(out);
+            self.choose_primary(out);
+            self.ask_for_more(out);
+            self.note_touch(out);
+        }
         if self.now >= self.beat_at + BEAT {
             self.beat(out);
         }
@@ -225,15 +248,15 @@
             ToFollower::Whole { sequence, document } => {
                 if sequence > self.sequence {
                     let change = self.document.change_to(&document);
-                    (self.sequence, self.document) = (sequence, document);
+                    (self.sequence, self.document) = (sequence, document.into_inner());
                     self.tell_configuration(change, out);
                 }
             }
             ToFollower::Change { from: of, to, change } => {
                 if of == self.sequence && to > of {
-                    self.document = self.document.with(&change);
+                    self.document.apply(&change);
                     self.sequence = to;
-                    self.tell_configuration(change, out);
+                    self.tell_configuration(change.into_inner(), out);
                 }
             }
             ToFollower::Evacuations(part) => {
@@ -335,9 +358,14 @@
         }
     }
 
-    /// Asks others for what the primary one does not bring in time.
+    /// Asks others for what the primary one does not bring in time. Not while a large message is on its way: a second copy beside it
+    /// would hold both up.
     fn ask_for_more(&mut self, out: &mut Vec<Done>) {
         let now = self.now;
+        let receives = |link: &Link| link.open.is_some() && now < link.fragment_at + LATE;
+        if self.links.values().any(receives) {
+            return;
+        }
         let behind: Vec<NodeId> = self
             .links
             .iter()
--- a/routing/src/table.rs
+++ b/routing/src/table.rs
@@ -1,10 +1,12 @@
 //! Routes by host and longest prefix. Changes are taken in item by item: a large configuration of which little changes costs
-//! little.
+//! little. Reading the items of a large change is most of its cost, and can be done a few at a time beforehand; the change itself
+//! is then made at once, so that no request sees half of it.
 
 use std::collections::HashMap;
 use std::rc::Rc;
 
-use ivyhatch_protocol::configuration::{Change, Limits, Route, Service};
+use ivyhatch_protocol::configuration::{Change, Item, Limits, Route, Service};
+use serde::de::DeserializeOwned;
 
 const ROUTES: &str = "routes";
 const SERVICES: &str = "services";
@@ -28,42 +30,86 @@
     limits: Limits,
 }
 
-impl Table {
-    /// Takes a change in. Items that can't be read are told, and left as they were.
-    pub fn apply(&mut self, change: &Change) -> Vec<UnreadableItem> {
-        let mut unreadable = Vec::new();
-        let mut told = |section, name: &str, error: &serde_json::Error| {
-            unreadable.push(UnreadableItem { section, name: name.to_owned(), problem: error.to_string() });
+/// A change whose items are being read, some at a time.
+#[derive(Debug)]
+pub struct PreparedChange {
+    removed_routes: Vec<String>,
+    removed_services: Vec<String>,
+    unread_routes: std::vec::IntoIter<Item>,
+    unread_services: std::vec::IntoIter<Item>,
+    routes: Vec<Rc<Route>>,
+    services: Vec<Service>,
+    limits: Option<Limits>,
+    unreadable: Vec<UnreadableItem>,
+}
+
+impl PreparedChange {
+    /// A change none of whose routes and services has been read yet.
+    pub fn new(mut change: Change) -> Self {
+        let mut prepared = Self {
+            removed_routes: change.remove.remove(ROUTES).unwrap_or_default(),
+            removed_services: change.remove.remove(SERVICES).unwrap_or_default(),
+            unread_routes: change.upsert.remove(ROUTES).unwrap_or_default().into_iter(),
+            unread_services: change.upsert.remove(SERVICES).unwrap_or_default().into_iter(),
+            routes: Vec::new(),
+            services: Vec::new(),
+            limits: None,
+            unreadable: Vec::new(),
         };
-        let removed = |section: &str| change.remove.get(section).into_iter().flatten();
-        let items = |section: &str| change.upsert.get(section).into_iter().flatten();
-        removed(ROUTES).for_each(|name| self.remove_route(name));
-        removed(SERVICES).for_each(|name| drop(self.services.remove(name)));
-        // Two routes may change places: all of them leave theirs before any takes one.
-        let mut routes = Vec::new();
-        for item in items(ROUTES) {
-            match serde_json::from_str::<Route>(&item.json) {
-                Ok(route) => {
-                    self.remove_route(&item.name);
-                    routes.push(Rc::new(route));
-                }
-                Err(error) => told(ROUTES, &item.name, &error),
-            }
+        if let Some(limits) = change.rest.remove(LIMITS) {
+            prepared.limits = prepared.parse(LIMITS, LIMITS, limits.as_deref().unwrap_or("{}"));
         }
-        routes.into_iter().for_each(|route| self.add_route(route));
-        for item in items(SERVICES) {
-            match serde_json::from_str::<Service>(&item.json) {
-                Ok(service) => drop(self.services.insert(item.name.clone(), service)),
-                Err(error) => told(SERVICES, &item.name, &error),
+        prepared
+    }
+
+    /// Reads at most so many of the items. Whether all have been read.
+    pub fn read(&mut self, most: usize) -> bool {
+        for _ in 0..most {
+            if let Some(item) = self.unread_routes.next() {
+                let route = self.parse(ROUTES, &item.name, &item.json).map(Rc::new);
+                self.routes.extend(route);
+            } else if let Some(item) = self.unread_services.next() {
+                let service = self.parse(SERVICES, &item.name, &item.json);
+                self.services.extend(service);
+            } else {
+                return true;
             }
         }
-        if let Some(limits) = change.rest.get(LIMITS) {
-            match serde_json::from_str(limits.as_deref().unwrap_or("{}")) {
-                Ok(limits) => self.limits = limits,
-                Err(error) => told(LIMITS, LIMITS, &error),
+        self.unread_routes.len() + self.unread_services.len() == 0
+    }
+
+    fn parse<T: DeserializeOwned>(&mut self, section: &'static str, name: &str, json: &str) -> Option<T> {
+        match serde_json::from_str(json) {
+            Ok(read) => Some(read),
+            Err(error) => {
+                let (name, problem) = (name.to_owned(), error.to_string());
+                self.unreadable.push(UnreadableItem { section, name, problem });
+                None
             }
         }
-        unreadable
+    }
+}
+
+impl Table {
+    /// Takes a change in. Items that can't be read are told, and left as they were.
+    pub fn apply(&mut self, change: &Change) -> Vec<UnreadableItem> {
+        self.commit(PreparedChange::new(change.clone()))
+    }
+
+    /// Takes a change in, with whatever has not been read of it yet. Items that can't be read are told, and left as they were.
+    pub fn commit(&mut self, mut change: PreparedChange) -> Vec<UnreadableItem> {
+        change.read(usize::MAX);
+        change.removed_routes.iter().for_each(|name| self.remove_route(name));
+        change.removed_services.iter().for_each(|name| drop(self.services.remove(name)));
+        // Two routes may change places: all of them leave theirs before any takes one.
+        change.routes.iter().for_each(|route| self.remove_route(&route.name));
+        change.routes.into_iter().for_each(|route| self.add_route(route));
+        let services = change.services.into_iter().map(|service| (service.name.clone(), service));
+        self.services.extend(services);
+        if let Some(limits) = change.limits {
+            self.limits = limits;
+        }
+        change.unreadable
     }
 
     fn add_route(&mut self, route: Rc<Route>) {
--- a/routing/tests/follow.rs
+++ b/routing/tests/follow.rs
@@ -284,7 +284,7 @@
     let mut routed = Routed::linked();
     (1..=3).for_each(|node| routed.says(node, Some((Position::default(), false))));
     routed.pass(SECOND);
-    let told = routed.say(1, ToFollower::Whole { sequence: 1, document: document(1, &[]) });
+    let told = routed.say(1, ToFollower::Whole { sequence: 1, document: document(1, &[]).into() });
     expect_that!(configurations(&told), eq(1));
 }
 
@@ -316,7 +316,7 @@
     expect_that!(wants(&done), contains(eq(&(NodeId(2), Position::default()))));
     expect_that!(wants(&done).iter().all(|(to, _)| *to == NodeId(2)), eq(true));
     expect_that!(wants(&done).len(), le(3), "not at every tick");
-    routed.say(2, ToFollower::Whole { sequence: 4, document: document(8, &["a"]) });
+    routed.say(2, ToFollower::Whole { sequence: 4, document: document(8, &["a"]).into() });
     expect_that!(wants(&routed.pass(SECOND)), is_empty());
 }
 
@@ -337,19 +337,20 @@
 #[gtest]
 fn no_older_configuration_is_taken() {
     let mut routed = Routed::linked();
-    let told = routed.say(1, ToFollower::Whole { sequence: 5, document: document(50, &["a"]) });
+    let told = routed.say(1, ToFollower::Whole { sequence: 5, document: document(50, &["a"]).into() });
     expect_that!(configurations(&told), eq(1));
     for (from, sequence) in [(1, 5), (2, 5), (2, 4), (3, 1), (1, 0)] {
-        let told = routed.say(from, ToFollower::Whole { sequence, document: document(sequence * 7, &["b"]) });
+        let told =
+            routed.say(from, ToFollower::Whole { sequence, document: document(sequence * 7, &["b"]).into() });
         expect_that!(configurations(&told), eq(0), "{sequence} from {from}");
         expect_that!(routed.configured(), eq((5, 50)));
     }
     // A session that begins anew changes nothing in that.
     routed.hear(Heard::Lost(NodeId(1)));
     routed.hear(Heard::Linked(NodeId(1), MILLISECOND));
-    routed.say(1, ToFollower::Whole { sequence: 4, document: document(40, &["b"]) });
+    routed.say(1, ToFollower::Whole { sequence: 4, document: document(40, &["b"]).into() });
     expect_that!(routed.configured(), eq((5, 50)));
-    routed.say(3, ToFollower::Whole { sequence: 6, document: document(60, &["b"]) });
+    routed.say(3, ToFollower::Whole { sequence: 6, document: document(60, &["b"]).into() });
     expect_that!(routed.configured(), eq((6, 60)), "from whomever it comes");
 }
 
@@ -361,12 +362,12 @@
         [(5, 6, true), (5, 9, true), (4, 6, false), (6, 7, false), (0, 6, false), (5, 5, false)]
     {
         let mut routed = Routed::linked();
-        routed.say(1, ToFollower::Whole { sequence: 5, document: old.clone() });
-        let told = routed.say(2, ToFollower::Change { from, to, change: change.clone() });
+        routed.say(1, ToFollower::Whole { sequence: 5, document: old.clone().into() });
+        let told = routed.say(2, ToFollower::Change { from, to, change: change.clone().into() });
         expect_that!(configurations(&told), eq(usize::from(taken)), "{from} to {to}");
         let expected = if taken { (to, 60) } else { (5, 50) };
         expect_that!(routed.configured(), eq(expected));
-        let again = routed.say(1, ToFollower::Change { from, to, change: change.clone() });
+        let again = routed.say(1, ToFollower::Change { from, to, change: change.clone().into() });
         expect_that!(configurations(&again), eq(0), "a second time it does not follow on");
     }
 }
@@ -374,8 +375,8 @@
 #[gtest]
 fn what_a_change_says_is_what_has_changed() {
     let mut routed = Routed::linked();
-    routed.say(1, ToFollower::Whole { sequence: 5, document: document(50, &["a", "b"]) });
-    let told = routed.say(1, ToFollower::Whole { sequence: 9, document: document(90, &["b", "c"]) });
+    routed.say(1, ToFollower::Whole { sequence: 5, document: document(50, &["a", "b"]).into() });
+    let told = routed.say(1, ToFollower::Whole { sequence: 9, document: document(90, &["b", "c"]).into() });
     let change = told
         .into_iter()
         .find_map(|done| if let Done::Configuration(change) = done { Some(change) } else { None });
@@ -438,10 +439,10 @@
     expect_that!(routed.follower.is_ready(), eq(false));
     routed.say(1, list(1, None, 1, &[]));
     expect_that!(routed.follower.is_ready(), eq(false));
-    routed.say(1, ToFollower::Whole { sequence: 1, document: document(1, &[]) });
+    routed.say(1, ToFollower::Whole { sequence: 1, document: document(1, &[]).into() });
     expect_that!(routed.follower.is_ready(), eq(true), "an empty list is a list");
     let mut other = Routed::linked();
-    other.say(1, ToFollower::Whole { sequence: 1, document: document(1, &[]) });
+    other.say(1, ToFollower::Whole { sequence: 1, document: document(1, &[]).into() });
     expect_that!(other.follower.is_ready(), eq(false));
 }
 
@@ -494,7 +495,7 @@
 #[gtest]
 fn one_that_is_not_followed_is_not_heard() {
     let mut routed = Routed::linked();
-    let told = routed.say(42, ToFollower::Whole { sequence: 1, document: document(1, &[]) });
+    let told = routed.say(42, ToFollower::Whole { sequence: 1, document: document(1, &[]).into() });
     expect_that!(told, is_empty());
     expect_that!(routed.configured().0, eq(0));
 }
@@ -514,3 +515,46 @@
     routed.says(2, Some((Position::default(), true)));
     expect_that!(touch(&routed.pass(SECOND)), elements_are![eq(&true)]);
 }
+
+#[gtest]
+fn nothing_is_wanted_a_second_time_while_a_large_message_arrives() {
+    let mut routed = Routed::linked();
+    let ahead = Position { configuration: 4, ..Position::default() };
+    (1..=3).for_each(|node| routed.says(node, Some((ahead.clone(), true))));
+    for _ in 0..20 {
+        routed.hear(Heard::Fragment(NodeId(1)));
+        expect_that!(wants(&routed.pass(TICK)), is_empty(), "it is on its way");
+    }
+    expect_that!(wants(&routed.pass(SECOND)), not(is_empty()), "it has stopped coming");
+}
+
+#[gtest]
+fn a_fragment_is_a_sign_of_life() {
+    let mut routed = Routed::linked();
+    routed.says(1, None);
+    for _ in 0..30 {
+        routed.hear(Heard::Fragment(NodeId(1)));
+        expect_that!(follows(&routed.pass(TICK)), is_empty());
+    }
+    expect_that!(follows(&routed.pass(2 * SECOND)), contains(eq(&(NodeId(2), true))));
+}
+
+#[gtest]
+fn what_came_during_a_stall_of_the_router_is_read_before_a_node_is_called_silent() {
+    for stall in [2 * SECOND, 20 * SECOND] {
+        let mut routed = Routed::linked();
+        routed.now += stall;
+        let mut done = routed.hear(Heard::Tick);
+        done.extend(routed.say(3, heads(Position::default(), true, 0)));
+        done.extend(routed.say(1, heads(Position::default(), true, 0)));
+        done.extend(routed.pass(SECOND));
+        expect_that!(follows(&done), is_empty(), "the primary one stays");
+        expect_that!(done.iter().any(|done| matches!(done, Done::Touch(_))), eq(false));
+        // One that says nothing then is silent all the same.
+        routed.alive.clear();
+        routed.now += stall;
+        routed.hear(Heard::Tick);
+        let done = routed.pass(SECOND);
+        expect_that!(done.contains(&Done::Touch(false)), eq(true));
+    }
+}
--- a/routing/tests/table.rs
+++ b/routing/tests/table.rs
@@ -4,7 +4,7 @@
 
 use googletest::prelude::*;
 use ivyhatch_protocol::configuration::{Change, Item, Route};
-use ivyhatch_routing::table::{Table, target};
+use ivyhatch_routing::table::{PreparedChange, Table, target};
 use serde_json::{Value, json};
 
 fn route(name: &str, host: &str, prefix: &str) -> Value {
@@ -180,3 +180,32 @@
         expect_that!(target(&route, draw), some(eq("s")));
     }
 }
+
+#[gtest]
+fn a_large_change_is_read_some_items_at_a_time_and_made_at_once() {
+    let mut table = table(&[route("old", "h", "/old/"), route("r1", "h", "/elsewhere/")]);
+    let many: Vec<Value> = (0..1000).map(|at| route(&format!("r{at}"), "h", &format!("/p{at}/"))).collect();
+    let mut change = PreparedChange::new(self::change("routes", &many, &["old"]));
+    let turns = (1..).find(|_| change.read(30)).expect("it ends");
+    expect_that!(turns, eq(34));
+    expect_that!(change.read(1), eq(true), "nothing is left");
+    expect_that!(found(&table, "h", "/old/x"), eq(&named("old")), "nothing has changed yet");
+    expect_that!(table.commit(change), is_empty());
+    expect_that!(table.routes().count(), eq(1000));
+    expect_that!(found(&table, "h", "/old/x"), none());
+    expect_that!(found(&table, "h", "/elsewhere/x"), none());
+    expect_that!(found(&table, "h", "/p1/x"), eq(&named("r1")));
+    expect_that!(found(&table, "h", "/p999/x"), eq(&named("r999")));
+}
+
+#[gtest]
+fn a_change_made_before_all_of_it_was_read_is_made_whole() {
+    let many: Vec<Value> = (0..10).map(|at| route(&format!("r{at}"), "h", &format!("/p{at}/"))).collect();
+    for read in [0, 1, 9, 10] {
+        let mut change = PreparedChange::new(self::change("routes", &many, &[]));
+        change.read(read);
+        let mut table = Table::default();
+        expect_that!(table.commit(change), is_empty());
+        expect_that!(table.routes().count(), eq(10), "{read} read before");
+    }
+}
--- a/system/src/control.rs
+++ b/system/src/control.rs
@@ -11,7 +11,7 @@
 use ivyhatch_control::stored::Stored;
 use ivyhatch_control::{Action, Event, Identity, Node, OrderId, SessionId, Token};
 use ivyhatch_protocol::MILLISECOND;
-use ivyhatch_protocol::feed::{FromFollower, Server};
+use ivyhatch_protocol::feed::{FromFollower, Server, ToFollower};
 use ivyhatch_protocol::ids::{NodeId, hash, mix};
 use ivyhatch_protocol::peer::{Answer, Order, Peer};
 use ivyhatch_protocol::settings::Settings;
@@ -23,6 +23,7 @@
 use tokio::time::{MissedTickBehavior, interval, sleep, timeout};
 
 use crate::RoleError;
+use crate::bulk::BulkFrames;
 use crate::clock::Clock;
 use crate::cloud::{Cloud, CloudError};
 use crate::disk::Disk;
@@ -49,6 +50,7 @@
     peers: RefCell<BTreeMap<NodeId, Writer>>,
     dialling: RefCell<BTreeMap<NodeId, JoinHandle<()>>>,
     sessions: RefCell<BTreeMap<SessionId, Writer>>,
+    bulk: RefCell<BulkFrames>,
     orders: RefCell<BTreeMap<OrderId, oneshot::Sender<Answer>>>,
     next: RefCell<u64>,
     disk: Option<Disk>,
@@ -88,6 +90,7 @@
         peers: RefCell::default(),
         dialling: RefCell::default(),
         sessions: RefCell::default(),
+        bulk: RefCell::default(),
         orders: RefCell::default(),
         next: RefCell::new(0),
         disk,
@@ -176,7 +179,7 @@
                 let _ = self.orders.borrow_mut().remove(&id).map(|waits| waits.send(answer));
             }
             Action::Follower(id, message) => {
-                let sent = self.sessions.borrow().get(&id).map(|writer| writer.send(&message));
+                let sent = self.sessions.borrow().get(&id).map(|writer| self.tell_follower(writer, &message));
                 if sent == Some(false) {
                     self.sessions.borrow_mut().remove(&id);
                 }
@@ -187,6 +190,16 @@
         }
     }
 
+    /// The configuration is bulk; all of it, so that its changes stay in their order.
+    fn tell_follower(&self, writer: &Writer, message: &ToFollower) -> bool {
+        match message {
+            ToFollower::Whole { .. } | ToFollower::Change { .. } => {
+                writer.send_bulk(&self.bulk.borrow_mut().of(message))
+            }
+            _ => writer.send(message),
+        }
+    }
+
     fn number(&self) -> u64 {
         let mut next = self.next.borrow_mut();
         *next += 1;
--- a/system/src/lib.rs
+++ b/system/src/lib.rs
@@ -3,12 +3,13 @@
 //! The system's processes: carries out what `ivyhatch-control` and `ivyhatch-routing` decide, on sockets, disks and the steady
 //! clock. One thread does all but the writing to disk, which has its own, so that a disk that hangs holds nothing else up.
 
+pub mod bulk;
 pub mod clock;
 mod cloud;
 mod control;
 mod disk;
 mod http;
-mod link;
+pub mod link;
 mod logging;
 mod router;
 
--- a/system/src/link.rs
+++ b/system/src/link.rs
@@ -1,5 +1,6 @@
 //! Links between the processes of the system: frames over TCP, one direction a connection. A link that is not up loses what is said
-//! on it; whoever is behind asks anew. Queues are bounded: a peer that does not read has its link closed.
+//! on it; whoever is behind asks anew. Queues are bounded: a peer that does not read has its link closed. What is large goes in
+//! fragments, behind all that is small.
 
 use std::cell::Cell;
 use std::net::{Ipv4Addr, SocketAddrV4};
@@ -11,7 +12,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
-use tokio::time::timeout;
+use tokio::time::{Instant, sleep_until, timeout};
 
 /// A connection that is not up by then is tried anew: behind a cut, or before its machine is up, nothing answers. Short first, so
 /// that those who start together find each other; longer each time, up to three times, where the way is long.
@@ -23,6 +24,14 @@
 const UNANSWERED: Duration = Duration::from_millis(2500);
 /// Bytes that wait to be written; over this the peer does not read.
 const WAITING: usize = 32 << 20;
+/// Small messages are written together up to here.
+const BATCH: usize = 64 * 1024;
+/// Bulk is written at this rate, in bytes a second: half of a link of 10 Mbit/s, so that requests have the rest ...
+const BULK_RATE: f64 = 640.0 * 1024.0;
+/// ... or faster, where what waits would take longer than this.
+const BULK_WITHIN: Duration = Duration::from_millis(1000);
+/// What the rate allows in this time goes at once after a rest.
+const BULK_REST: Duration = Duration::from_millis(100);
 const BACKLOG: u32 = 1024;
 
 /// A listening socket.
@@ -55,19 +64,29 @@
     let _ = socket2::SockRef::from(stream).set_tcp_user_timeout(Some(UNANSWERED));
 }
 
-/// The writing end of a link.
+/// The writing end of a link. Bulk is written behind everything else, and spread over time, so that nothing else waits for it.
 #[derive(Clone)]
 pub struct Writer {
     queue: UnboundedSender<Rc<Vec<u8>>>,
-    waiting: Rc<Cell<usize>>,
+    bulk: UnboundedSender<Rc<Vec<u8>>>,
+    waiting: Rc<Waiting>,
+}
+
+/// Bytes that wait to be written.
+#[derive(Default)]
+struct Waiting {
+    all: Cell<usize>,
+    bulk: Cell<usize>,
 }
 
 impl Writer {
     /// A writer, and what it is written from.
     pub fn new() -> (Self, Queue) {
-        let (queue, bytes) = unbounded_channel();
-        let waiting = Rc::new(Cell::new(0));
-        (Self { queue, waiting: waiting.clone() }, Queue { bytes, waiting })
+        let (queue, messages) = unbounded_channel();
+        let (bulk, bulk_frames) = unbounded_channel();
+        let waiting = Rc::<Waiting>::default();
+        let written_from = Queue { messages, bulk_frames, waiting: waiting.clone() };
+        (Self { queue, bulk, waiting }, written_from)
     }
 
     /// Has a message written. False where the link is gone, or its peer does not read.
@@ -77,19 +96,35 @@
 
     /// The same for one that is encoded already.
     pub fn send_encoded(&self, bytes: Rc<Vec<u8>>) -> bool {
-        let waiting = self.waiting.get() + bytes.len();
-        if waiting > WAITING {
+        self.count(bytes.len()) && self.queue.send(bytes).is_ok()
+    }
+
+    /// Has the fragments of a large message written as bulk, in this order and behind the bulk before them.
+    pub fn send_bulk(&self, fragments: &[Rc<Vec<u8>>]) -> bool {
+        let length = fragments.iter().map(|fragment| fragment.len()).sum();
+        if !self.count(length) {
             return false;
         }
-        self.waiting.set(waiting);
-        self.queue.send(bytes).is_ok()
+        self.waiting.bulk.set(self.waiting.bulk.get() + length);
+        fragments.iter().all(|fragment| self.bulk.send(fragment.clone()).is_ok())
+    }
+
+    /// Counts bytes that are to wait. False where there are too many.
+    fn count(&self, length: usize) -> bool {
+        let waiting = self.waiting.all.get() + length;
+        let fits = waiting <= WAITING;
+        if fits {
+            self.waiting.all.set(waiting);
+        }
+        fits
     }
 }
 
 /// What waits to be written.
 pub struct Queue {
-    bytes: UnboundedReceiver<Rc<Vec<u8>>>,
-    waiting: Rc<Cell<usize>>,
+    messages: UnboundedReceiver<Rc<Vec<u8>>>,
+    bulk_frames: UnboundedReceiver<Rc<Vec<u8>>>,
+    waiting: Rc<Waiting>,
 }
 
 impl Queue {
@@ -99,23 +134,82 @@
         stream: &mut (impl tokio::io::AsyncWrite + Unpin),
     ) -> std::io::Result<()> {
         let mut batch = Vec::new();
-        while let Some(first) = self.bytes.recv().await {
-            batch.clear();
-            batch.extend_from_slice(&first);
-            while batch.len() < 64 * 1024
-                && let Ok(more) = self.bytes.try_recv()
-            {
-                batch.extend_from_slice(&more);
-            }
-            self.waiting.set(self.waiting.get().saturating_sub(batch.len()));
-            for piece in batch.chunks(64 * 1024) {
-                timeout(WRITE, stream.write_all(piece)).await??;
+        let mut pace = Pace::default();
+        loop {
+            let bulk = async {
+                sleep_until(pace.next).await;
+                self.bulk_frames.recv().await
+            };
+            tokio::select! {
+                biased;
+                message = self.messages.recv() => match message {
+                    Some(message) => self.write_batch(&message, &mut batch, stream).await?,
+                    None => return Ok(()),
+                },
+                Some(frame) = bulk => {
+                    pace.spend(frame.len(), self.bulk_rate());
+                    self.waiting.bulk.set(self.waiting.bulk.get().saturating_sub(frame.len()));
+                    write(stream, &frame).await?;
+                    self.written(frame.len());
+                }
             }
         }
-        Ok(())
+    }
+
+    /// Writes a message, with those that wait behind it.
+    async fn write_batch(
+        &mut self,
+        first: &[u8],
+        batch: &mut Vec<u8>,
+        stream: &mut (impl tokio::io::AsyncWrite + Unpin),
+    ) -> std::io::Result<()> {
+        batch.clear();
+        batch.extend_from_slice(first);
+        while batch.len() < BATCH
+            && let Ok(more) = self.messages.try_recv()
+        {
+            batch.extend_from_slice(&more);
+        }
+        self.written(batch.len());
+        write(stream, batch).await
+    }
+
+    fn written(&self, length: usize) {
+        self.waiting.all.set(self.waiting.all.get().saturating_sub(length));
+    }
+
+    /// Bytes of bulk that are written in a second.
+    fn bulk_rate(&self) -> f64 {
+        BULK_RATE.max(self.waiting.bulk.get() as f64 / BULK_WITHIN.as_secs_f64())
+    }
+}
+
+/// When bulk may be written next. After a rest of [`BULK_REST`] some of it goes at once.
+struct Pace {
+    next: Instant,
+}
+
+impl Default for Pace {
+    fn default() -> Self {
+        Self { next: Instant::now() }
+    }
+}
+
+impl Pace {
+    fn spend(&mut self, length: usize, rate: f64) {
+        let now = Instant::now();
+        let earliest = now.checked_sub(BULK_REST).unwrap_or(now);
+        self.next = self.next.max(earliest) + Duration::from_secs_f64(length as f64 / rate);
     }
 }
 
+async fn write(stream: &mut (impl tokio::io::AsyncWrite + Unpin), bytes: &[u8]) -> std::io::Result<()> {
+    for piece in bytes.chunks(BATCH) {
+        timeout(WRITE, stream.write_all(piece)).await??;
+    }
+    Ok(())
+}
+
 /// Why a link has ended.
 #[derive(Debug, thiserror::Error)]
 pub enum LinkError {
@@ -130,6 +224,14 @@
     Silent,
 }
 
+/// What a link brings.
+pub enum Received<M> {
+    /// A message.
+    Message(M),
+    /// A part of a large message.
+    Fragment,
+}
+
 /// Reads messages until the connection ends, or says nothing for so long.
 ///
 /// # Errors
@@ -138,6 +240,22 @@
     stream: &mut (impl tokio::io::AsyncRead + Unpin),
     silent: Duration,
     mut take: impl FnMut(M),
+) -> Result<(), LinkError> {
+    let take = |received| match received {
+        Received::Message(message) => take(message),
+        Received::Fragment => {}
+    };
+    read_fragments(stream, silent, take).await
+}
+
+/// The same; tells also of parts of large messages as they come.
+///
+/// # Errors
+/// Always: the reason for which it ended.
+pub async fn read_fragments<M: for<'a> Readable<'a, LittleEndian>>(
+    stream: &mut (impl tokio::io::AsyncRead + Unpin),
+    silent: Duration,
+    mut take: impl FnMut(Received<M>),
 ) -> Result<(), LinkError> {
     let mut decoder = Decoder::default();
     let mut buffer = vec![0; 16 * 1024];
@@ -147,8 +265,12 @@
             return Err(std::io::Error::from(std::io::ErrorKind::UnexpectedEof).into());
         }
         decoder.feed(&buffer[..read]);
+        let fragments_before = decoder.fragments_taken();
         while let Some(message) = decoder.message()? {
-            take(message);
+            take(Received::Message(message));
+        }
+        if decoder.fragments_taken() > fragments_before {
+            take(Received::Fragment);
         }
     }
 }
--- a/system/src/router/dispatch/mod.rs
+++ b/system/src/router/dispatch/mod.rs
@@ -16,11 +16,12 @@
 
 use badgerpost::seats::{Seats, Times};
 use brookfield::{Outcome, RequestId, Stage};
-use ivyhatch_protocol::configuration::{Change, Limits, Route};
+use ivyhatch_protocol::configuration::{Limits, Route};
 use ivyhatch_protocol::feed::Server;
 use ivyhatch_protocol::settings::Settings;
 use ivyhatch_protocol::{MILLISECOND, Nanos};
 use ivyhatch_routing::engine::Load;
+use ivyhatch_routing::table::PreparedChange;
 use tokio::sync::{Notify, oneshot};
 
 use super::answer::{Head, Reply, Sink};
@@ -108,7 +109,7 @@
     }
 
     /// Takes a change of the configuration in.
-    pub fn configure(&self, change: &Change) {
+    pub fn configure(&self, change: PreparedChange) {
         let unreadable = self.inner.borrow_mut().configure(change);
         for error in unreadable {
             log::error!("event=unreadable_item error={:?}", error.to_string());
--- a/system/src/router/dispatch/services.rs
+++ b/system/src/router/dispatch/services.rs
@@ -5,11 +5,11 @@
 use std::rc::Rc;
 
 use brookfield::{Balancer, ClassId, ClassSettings, Discovery, Effect, Event, Reports, ZoneId};
-use ivyhatch_protocol::configuration::{Change, Route};
+use ivyhatch_protocol::configuration::Route;
 use ivyhatch_protocol::ids::hash;
 use ivyhatch_protocol::{MILLISECOND, Nanos, SECOND};
 use ivyhatch_routing::placement::{Cold, Placement, Regions, Shared};
-use ivyhatch_routing::table::UnreadableItem;
+use ivyhatch_routing::table::{PreparedChange, UnreadableItem};
 
 use super::COLD_MORE;
 use super::attempt::Service;
@@ -48,8 +48,8 @@
         route.home_regions.iter().map(bit).fold(0, |all: Regions, bit: Regions| all | bit)
     }
 
-    pub(super) fn configure(&mut self, change: &Change) -> Vec<UnreadableItem> {
-        let unreadable = self.table.apply(change);
+    pub(super) fn configure(&mut self, change: PreparedChange) -> Vec<UnreadableItem> {
+        let unreadable = self.table.commit(change);
         let services: Vec<(Rc<str>, bool, Cold)> = self
             .table
             .services()
--- a/system/src/router/sessions.rs
+++ b/system/src/router/sessions.rs
@@ -1,27 +1,34 @@
 //! The router's sessions with control nodes: carries out what the follower decides.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::net::SocketAddrV4;
 use std::rc::Rc;
 use std::time::Duration;
 
+use ivyhatch_protocol::configuration::Change;
 use ivyhatch_protocol::feed::{FromFollower, Router, RouterState, ToFollower};
 use ivyhatch_protocol::ids::NodeId;
 use ivyhatch_protocol::settings::Settings;
 use ivyhatch_routing::follow::{Done, Follower, Heard};
-use tokio::task::{JoinHandle, spawn_local};
-use tokio::time::{MissedTickBehavior, interval, sleep};
+use ivyhatch_routing::table::PreparedChange;
+use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
+use tokio::task::{JoinHandle, spawn_local, yield_now};
+use tokio::time::{Instant, MissedTickBehavior, interval, sleep};
 
 use super::dispatch::Dispatcher;
 use crate::clock::Clock;
-use crate::link::{self, Writer};
+use crate::link::{self, Received, Writer};
 
 const TICK: Duration = Duration::from_millis(100);
 /// Wait before a session that has ended is opened anew.
 const AGAIN: Duration = Duration::from_millis(100);
 /// A control node that says nothing for so long has its session closed.
 const SILENT: Duration = Duration::from_millis(1800);
+/// A tick that comes so much too late is told: nothing else had its turn in that time either.
+const STALLED: Duration = Duration::from_millis(50);
+/// Routes and services of a change that are read before others have their turn: a tenth of a millisecond on a whole core.
+const ITEMS_A_TURN: usize = 50;
 
 struct Host {
     follower: RefCell<Follower>,
@@ -29,6 +36,8 @@
     writers: RefCell<BTreeMap<NodeId, Writer>>,
     dialling: RefCell<BTreeMap<NodeId, JoinHandle<()>>>,
     dispatcher: Dispatcher,
+    changes: UnboundedSender<Change>,
+    configured: Cell<bool>,
     settings: Settings,
 }
 
@@ -42,20 +51,30 @@
 impl Sessions {
     /// Starts to follow.
     pub fn start(settings: &Settings, clock: Clock, router: Router, dispatcher: Dispatcher) -> Self {
+        let (changes, decided) = unbounded_channel();
         let host = Rc::new(Host {
             follower: RefCell::new(Follower::new(router, &seeds(settings), clock.now())),
             clock,
             writers: RefCell::default(),
             dialling: RefCell::default(),
             dispatcher,
+            changes,
+            configured: Cell::new(false),
             settings: settings.clone(),
         });
+        spawn_local(host.clone().configure(decided));
         let ticking = host.clone();
         spawn_local(async move {
             let mut ticks = interval(TICK);
             ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+            let mut due = Instant::now();
             loop {
                 ticks.tick().await;
+                let late = Instant::now().saturating_duration_since(due);
+                if late >= STALLED {
+                    log::warn!("event=stalled ms={}", late.as_millis());
+                }
+                due = Instant::now() + TICK;
                 ticking.hear(Heard::Tick);
             }
         });
@@ -94,10 +113,8 @@
                         self.writers.borrow_mut().remove(&to);
                     }
                 }
-                Done::Configuration(change) => {
-                    self.dispatcher.configure(&change);
-                    servers = true;
-                }
+                // Its receiver lives as long as the process.
+                Done::Configuration(change) => drop(self.changes.send(change)),
                 Done::Servers => servers = true,
                 Done::Touch(touch) => {
                     self.dispatcher.set_touch(touch);
@@ -108,14 +125,33 @@
             }
         }
         if servers {
-            let follower = self.follower.borrow();
-            let now = self.clock.now();
-            self.dispatcher.servers(follower.list().servers(now).collect(), |zone| follower.evacuation(zone));
-            let ready = follower.is_ready();
-            drop(follower);
-            if ready && self.dispatcher.become_ready() {
-                self.hear(Heard::State(RouterState::Ready));
+            self.refresh_servers();
+        }
+    }
+
+    /// Tells the dispatcher of all servers anew. Once there are routes as well, the router is ready.
+    fn refresh_servers(self: &Rc<Self>) {
+        let follower = self.follower.borrow();
+        let now = self.clock.now();
+        self.dispatcher.servers(follower.list().servers(now).collect(), |zone| follower.evacuation(zone));
+        let ready = follower.is_ready() && self.configured.get();
+        drop(follower);
+        if ready && self.dispatcher.become_ready() {
+            self.hear(Heard::State(RouterState::Ready));
+        }
+    }
+
+    /// Makes the decided changes of the configuration, one after the other. Their items are read a few at a time; in between
+    /// requests have their turn.
+    async fn configure(self: Rc<Self>, mut decided: UnboundedReceiver<Change>) {
+        while let Some(change) = decided.recv().await {
+            let mut change = PreparedChange::new(change);
+            while !change.read(ITEMS_A_TURN) {
+                yield_now().await;
             }
+            self.dispatcher.configure(change);
+            self.configured.set(true);
+            self.refresh_servers();
         }
     }
 
@@ -145,9 +181,14 @@
                 self.writers.borrow_mut().insert(node, writer);
                 self.hear(Heard::Linked(node, self.clock.now() - began));
                 let (mut reading, mut writing) = stream.split();
-                let take = |message: ToFollower| self.hear(Heard::Message(node, message));
+                let take = |received: Received<ToFollower>| {
+                    self.hear(match received {
+                        Received::Message(message) => Heard::Message(node, message),
+                        Received::Fragment => Heard::Fragment(node),
+                    });
+                };
                 let ended = tokio::select! {
-                    ended = link::read(&mut reading, SILENT, take) => ended,
+                    ended = link::read_fragments(&mut reading, SILENT, take) => ended,
                     ended = queue.write_to(&mut writing) => ended.map_err(link::LinkError::from),
                 };
                 if let Err(error @ link::LinkError::Frame(_)) = ended {
--- /dev/null
+++ b/system/tests/link.rs
@@ -0,0 +1,159 @@
+//! Small and large messages on one link, in virtual time.
+
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use googletest::prelude::*;
+use ivyhatch_protocol::configuration::{Document, Item};
+use ivyhatch_protocol::feed::{Shared, ToFollower};
+use ivyhatch_protocol::frame::{Decoder, encode_fragments};
+use ivyhatch_system::bulk::BulkFrames;
+use ivyhatch_system::link::{Received, Writer, read_fragments};
+use tokio::io::{AsyncReadExt, DuplexStream, duplex};
+use tokio::task::{LocalSet, spawn_local};
+use tokio::time::{Instant, sleep};
+
+/// 10 Mbit/s.
+const BYTES_A_MILLISECOND: usize = 1250;
+
+/// Runs a test in virtual time on one thread, as a role runs.
+fn run<F: Future>(test: F) -> F::Output {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().start_paused(true).build();
+    LocalSet::new().block_on(&runtime.expect("a runtime"), test)
+}
+
+/// A configuration of this many routes, of some 300 bytes each.
+fn document(routes: usize) -> Document {
+    let item = |at| Item {
+        name: format!("route-{at}"),
+        json: format!("{{\"name\":\"route-{at}\",\"padding\":\"{}\"}}", "x".repeat(250)),
+    };
+    let sections = BTreeMap::from([("routes".to_owned(), (0..routes).map(item).collect())]);
+    Document { revision: 7, sections, ..Document::default() }
+}
+
+fn whole(document: &Shared<Document>) -> ToFollower {
+    ToFollower::Whole { sequence: 7, document: document.clone() }
+}
+
+fn heads() -> ToFollower {
+    let position = Default::default();
+    ToFollower::Heads { position, in_touch: true, routers: 1, place: 0, controls: Vec::new() }
+}
+
+/// What comes out of a slow link, and when.
+async fn arrivals(mut from: DuplexStream, for_so_long: Duration) -> Vec<(Duration, ToFollower)> {
+    let began = Instant::now();
+    let (mut decoder, mut came) = (Decoder::default(), Vec::new());
+    let mut buffer = [0; BYTES_A_MILLISECOND];
+    while began.elapsed() < for_so_long {
+        sleep(Duration::from_millis(1)).await;
+        let read = tokio::time::timeout(Duration::from_millis(1), from.read(&mut buffer)).await;
+        let Ok(Ok(read)) = read else { continue };
+        decoder.feed(&buffer[..read]);
+        while let Some(message) = decoder.message().expect("sound") {
+            came.push((began.elapsed(), message));
+        }
+    }
+    came
+}
+
+#[gtest]
+fn a_heartbeat_overtakes_a_large_configuration() {
+    let came = run(async {
+        let (mut to, from) = duplex(4 * 1024);
+        let (writer, mut queue) = Writer::new();
+        spawn_local(async move { queue.write_to(&mut to).await });
+        let document = Shared::from(document(2000));
+        let fragments: Vec<_> = encode_fragments(&whole(&document)).into_iter().map(Rc::new).collect();
+        expect_that!(writer.send_bulk(&fragments), eq(true));
+        spawn_local(async move {
+            for _ in 0..5 {
+                writer.send(&heads());
+                sleep(Duration::from_millis(200)).await;
+            }
+            sleep(Duration::from_secs(2)).await;
+        });
+        arrivals(from, Duration::from_secs(3)).await
+    });
+    let heads: Vec<Duration> = came
+        .iter()
+        .filter(|(_, message)| matches!(message, ToFollower::Heads { .. }))
+        .map(|(at, _)| *at)
+        .collect();
+    expect_that!(heads.len(), eq(5));
+    for (at, sent) in heads.into_iter().zip((0..).map(|index| Duration::from_millis(200 * index))) {
+        expect_that!(at.saturating_sub(sent), le(Duration::from_millis(100)));
+    }
+    let whole: Vec<Duration> = came
+        .iter()
+        .filter(|(_, message)| matches!(message, ToFollower::Whole { .. }))
+        .map(|(at, _)| *at)
+        .collect();
+    expect_that!(whole, elements_are![le(&Duration::from_millis(1500))]);
+}
+
+#[gtest]
+fn changes_of_the_configuration_stay_in_their_order() {
+    let came = run(async {
+        let (mut to, from) = duplex(4 * 1024);
+        let (writer, mut queue) = Writer::new();
+        spawn_local(async move { queue.write_to(&mut to).await });
+        let mut frames = BulkFrames::default();
+        writer.send_bulk(&frames.of(&whole(&document(500).into())));
+        for sequence in 7..12 {
+            let change = ToFollower::Change { from: sequence, to: sequence + 1, change: Shared::default() };
+            writer.send_bulk(&frames.of(&change));
+        }
+        arrivals(from, Duration::from_secs(2)).await
+    });
+    let sequences: Vec<u64> = came
+        .iter()
+        .filter_map(|(_, message)| match message {
+            ToFollower::Whole { sequence, .. } => Some(*sequence),
+            ToFollower::Change { to, .. } => Some(*to),
+            _ => None,
+        })
+        .collect();
+    expect_that!(sequences, elements_are![eq(&7), eq(&8), eq(&9), eq(&10), eq(&11), eq(&12)]);
+}
+
+#[gtest]
+fn a_message_that_goes_to_many_is_encoded_once() {
+    let document = Shared::from(document(100));
+    let mut frames = BulkFrames::default();
+    let first = frames.of(&whole(&document));
+    for _ in 0..12 {
+        let again = frames.of(&whole(&document));
+        expect_that!(Rc::ptr_eq(&first, &again), eq(true));
+    }
+    let other = frames.of(&whole(&Shared::from((*document).clone())));
+    expect_that!(Rc::ptr_eq(&first, &other), eq(false), "another document, though it says the same");
+}
+
+#[gtest]
+fn a_reader_tells_of_fragments_before_their_message_is_whole() {
+    let (fragments, messages) =
+        run(async {
+            let (mut to, mut from) = duplex(4 * 1024);
+            let (writer, mut queue) = Writer::new();
+            spawn_local(async move { queue.write_to(&mut to).await });
+            let mut frames = BulkFrames::default();
+            writer.send_bulk(&frames.of(&whole(&document(500).into())));
+            let (mut fragments, mut messages) = (0, 0);
+            // The link ends by its silence.
+            let _ = read_fragments(&mut from, Duration::from_secs(2), |received: Received<ToFollower>| {
+                match received {
+                    Received::Message(_) => messages += 1,
+                    Received::Fragment if messages == 0 => fragments += 1,
+                    Received::Fragment => {}
+                }
+            })
+            .await;
+            drop(writer);
+            (fragments, messages)
+        });
+    expect_that!(messages, eq(1));
+    expect_that!(fragments, ge(5));
+}
