--- a/protocol/src/frame.rs
+++ b/protocol/src/frame.rs
@@ -1,13 +1,15 @@
 //! How messages stand in a stream of bytes: a word that marks ours, the version, the length, a checksum, the message.
 //!
 //! A message of more than [`FRAGMENT_BYTES`] can be sent as fragments, each of them a frame with its own checksum: other messages
-//! go between them, and their arrival shows that the sender lives.
+//! go between them, and their arrival shows that the sender lives. Whatever is long is compressed first.
 //!
 //! What is not a frame of ours ends its connection: behind it there is no telling where the next one begins. Nothing is lost by
 //! that, as whatever was decided stands elsewhere and whoever is behind asks anew.
 
 use speedy::{LittleEndian, Readable, Writable};
 
+use crate::compression::{CompressionError, compress, decompress};
+
 /// Marks a frame of ours.
 const MARK: u16 = 0x6976;
 /// The version of the messages. Another one is refused: there is no guessing at what it means.
@@ -17,8 +19,14 @@
 const FRAGMENT: u32 = 1 << 31;
 /// Set beside it in the last fragment of a message.
 const LAST_FRAGMENT: u32 = 1 << 30;
+/// Set where the message is compressed; its length before that stands in front of it.
+const COMPRESSED: u32 = 1 << 29;
 /// The bits of the length itself.
-const LENGTH_BITS: u32 = LAST_FRAGMENT - 1;
+const LENGTH_BITS: u32 = COMPRESSED - 1;
+/// Messages from this length on are compressed, in bytes: the time for shorter ones is worth more than their bytes.
+const COMPRESSED_FROM: usize = 2048;
+/// Bytes of the length in front of a compressed message.
+const LENGTH_BYTES: usize = 4;
 /// The payload of one fragment, in bytes: 13 ms of a link of 10 Mbit/s.
 pub const FRAGMENT_BYTES: usize = 16 * 1024;
 /// No message is longer, in bytes: a whole configuration with all of its history is far below.
@@ -69,20 +77,34 @@
 
 /// A message as bytes, ready to be written.
 pub fn encode<M: Writable<LittleEndian>>(message: &M) -> Vec<u8> {
-    // Writing to memory fails for nothing that the messages hold.
-    let body = message.write_to_vec().unwrap_or_default();
-    frame(&body, 0)
+    let (body, flags) = encode_body(message);
+    frame(&body, flags)
 }
 
 /// A message as frames that may be written with other messages between them: fragments, or one frame where it is small.
 pub fn encode_fragments<M: Writable<LittleEndian>>(message: &M) -> Vec<Vec<u8>> {
-    let body = message.write_to_vec().unwrap_or_default();
+    let (body, flags) = encode_body(message);
     if body.len() <= FRAGMENT_BYTES {
-        return vec![frame(&body, 0)];
+        return vec![frame(&body, flags)];
     }
     let last = (body.len() - 1) / FRAGMENT_BYTES;
-    let flags = |index: usize| if index == last { FRAGMENT | LAST_FRAGMENT } else { FRAGMENT };
-    body.chunks(FRAGMENT_BYTES).enumerate().map(|(index, chunk)| frame(chunk, flags(index))).collect()
+    let place = |index: usize| if index == last { FRAGMENT | LAST_FRAGMENT } else { FRAGMENT };
+    body.chunks(FRAGMENT_BYTES).enumerate().map(|(index, chunk)| frame(chunk, flags | place(index))).collect()
+}
+
+/// The bytes of a message, compressed where that is worth it, and the flags that tell so.
+fn encode_body<M: Writable<LittleEndian>>(message: &M) -> (Vec<u8>, u32) {
+    // Writing to memory fails for nothing that the messages hold.
+    let plain = message.write_to_vec().unwrap_or_default();
+    if plain.len() < COMPRESSED_FROM {
+        return (plain, 0);
+    }
+    let compressed = compress(&plain);
+    if compressed.len() + LENGTH_BYTES >= plain.len() {
+        return (plain, 0);
+    }
+    let length = (plain.len() as u32).to_le_bytes();
+    ([&length[..], &compressed].concat(), COMPRESSED)
 }
 
 fn frame(body: &[u8], flags: u32) -> Vec<u8> {
@@ -95,10 +117,24 @@
     bytes
 }
 
-fn read_message<M: for<'a> Readable<'a, LittleEndian>>(body: &[u8]) -> Result<M, FrameError> {
+fn read_message<M: for<'a> Readable<'a, LittleEndian>>(flags: u32, body: &[u8]) -> Result<M, FrameError> {
+    if flags & COMPRESSED != 0 {
+        let plain = decompress_body(body)?;
+        return read_message(flags & !COMPRESSED, &plain);
+    }
     M::read_from_buffer(body).map_err(|error| FrameError::Unreadable(error.to_string()))
 }
 
+fn decompress_body(body: &[u8]) -> Result<Vec<u8>, FrameError> {
+    let unreadable = |error: CompressionError| FrameError::Unreadable(error.to_string());
+    let (length, compressed) = body.split_first_chunk().ok_or(unreadable(CompressionError::CutShort))?;
+    let length = u32::from_le_bytes(*length) as usize;
+    if length > LONGEST {
+        return Err(FrameError::TooLong { length });
+    }
+    decompress(compressed, length).map_err(unreadable)
+}
+
 /// Takes bytes in as they come, and gives messages.
 #[derive(Default)]
 pub struct Decoder {
@@ -132,7 +168,7 @@
         while let Some((flags, length)) = self.frame()? {
             let body = &self.bytes[self.at + HEAD..][..length];
             let message = if flags & FRAGMENT == 0 {
-                Some(read_message(body)?)
+                Some(read_message(flags, body)?)
             } else {
                 self.fragments_taken += 1;
                 if self.fragments.len() + length > LONGEST {
@@ -140,7 +176,7 @@
                 }
                 self.fragments.extend_from_slice(body);
                 let last = flags & LAST_FRAGMENT != 0;
-                last.then(|| read_message(&std::mem::take(&mut self.fragments))).transpose()?
+                last.then(|| read_message(flags, &std::mem::take(&mut self.fragments))).transpose()?
             };
             self.skip(HEAD + length);
             if message.is_some() {
--- a/protocol/src/lib.rs
+++ b/protocol/src/lib.rs
@@ -7,10 +7,12 @@
 //! - [`peer`]: between control nodes
 //! - [`feed`]: between a control node and those who follow it
 //! - [`frame`]: how messages stand in a stream of bytes
+//! - [`compression`]: how large messages are made small
 //! - [`servers`]: the platform's list, as its reader makes it up and all others follow it
 //! - [`settings`]: the settings file of a process
 //! - [`configuration`]: the operator's configuration, how it is checked, changed and compared
 
+pub mod compression;
 pub mod configuration;
 pub mod feed;
 pub mod frame;
--- a/protocol/tests/frame.rs
+++ b/protocol/tests/frame.rs
@@ -3,13 +3,19 @@
 use googletest::prelude::*;
 use ivyhatch_protocol::feed::FromFollower;
 use ivyhatch_protocol::frame::{
-    Decoder, FRAGMENT_BYTES, FrameError, LONGEST, VERSION, encode, encode_fragments,
+    Decoder, FRAGMENT_BYTES, FrameError, LONGEST, VERSION, checksum, encode, encode_fragments,
 };
+use ivyhatch_protocol::ids::mix;
 
 fn want() -> FromFollower {
     FromFollower::Want { position: Default::default() }
 }
 
+/// A message that does not shrink, as it never repeats itself.
+fn incompressible(length: usize) -> Vec<u8> {
+    (0..length as u64).map(|at| mix(at) as u8).collect()
+}
+
 fn decoded(bytes: &[u8]) -> std::result::Result<Option<FromFollower>, FrameError> {
     let mut decoder = Decoder::default();
     decoder.feed(bytes);
@@ -53,24 +59,24 @@
 #[gtest]
 fn a_small_message_is_not_fragmented() {
     expect_that!(encode_fragments(&want()), elements_are![eq(&encode(&want()))]);
-    let fits = "x".repeat(FRAGMENT_BYTES - 4);
+    let fits = incompressible(FRAGMENT_BYTES - 4);
     expect_that!(encode_fragments(&fits), elements_are![eq(&encode(&fits))]);
-    expect_that!(encode_fragments(&format!("{fits}x")).len(), eq(2));
+    expect_that!(encode_fragments(&incompressible(FRAGMENT_BYTES - 3)).len(), eq(2));
 }
 
 #[gtest]
 fn other_messages_come_between_the_fragments_of_a_large_one() {
-    let large = "0123456789abcdef".repeat(5 * FRAGMENT_BYTES / 16);
-    let between = "between".to_owned();
+    let large = incompressible(5 * FRAGMENT_BYTES);
+    let between = b"between".to_vec();
     let fragments = encode_fragments(&large);
-    expect_that!(fragments.len(), eq(6), "the length of the text comes on top of its bytes");
+    expect_that!(fragments.len(), eq(6), "the length comes on top of the bytes");
     for cut in [1, 7, 4096, 3 * FRAGMENT_BYTES] {
         let bytes: Vec<u8> =
             fragments.iter().flat_map(|fragment| [fragment.clone(), encode(&between)].concat()).collect();
         let (mut decoder, mut came) = (Decoder::default(), Vec::new());
         for piece in bytes.chunks(cut) {
             decoder.feed(piece);
-            while let Some(message) = decoder.message::<String>().expect("sound") {
+            while let Some(message) = decoder.message::<Vec<u8>>().expect("sound") {
                 came.push(message);
             }
         }
@@ -84,17 +90,39 @@
 
 #[gtest]
 fn each_fragment_is_checked_and_all_together_are_bounded() {
-    let fragments = encode_fragments(&"x".repeat(3 * FRAGMENT_BYTES));
+    let fragments = encode_fragments(&incompressible(3 * FRAGMENT_BYTES));
     let mut damaged = fragments[1].clone();
     damaged[100] ^= 1;
     let mut decoder = Decoder::default();
     decoder.feed(&fragments[0]);
     decoder.feed(&damaged);
-    expect_that!(decoder.message::<String>(), err(eq(&FrameError::Damaged)));
+    expect_that!(decoder.message::<Vec<u8>>(), err(eq(&FrameError::Damaged)));
     let mut decoder = Decoder::default();
     let error = (0..=LONGEST / FRAGMENT_BYTES).find_map(|_| {
         decoder.feed(&fragments[0]);
-        decoder.message::<String>().err()
+        decoder.message::<Vec<u8>>().err()
     });
     expect_that!(error, some(eq(&FrameError::TooLong { length: LONGEST + FRAGMENT_BYTES })));
 }
+
+#[gtest]
+fn a_long_message_that_repeats_itself_is_compressed() {
+    let long = "all routes look alike; ".repeat(40_000);
+    let frame = encode(&long);
+    expect_that!(frame.len(), le(long.len() / 100));
+    for bytes in [frame.clone(), encode_fragments(&long).concat()] {
+        let mut decoder = Decoder::default();
+        decoder.feed(&bytes);
+        expect_that!(decoder.message::<String>().expect("sound") == Some(long.clone()), eq(true));
+    }
+    // Sound by its checksum, and decompresses to nothing that was sent.
+    let (head, body) = frame.split_at(12);
+    for (at, byte) in [(3, 0xff), (2, 1)] {
+        let mut body = body.to_vec();
+        body[at] = byte;
+        let bytes = [&head[..8], &checksum(&body).to_le_bytes(), &body].concat();
+        let mut decoder = Decoder::default();
+        decoder.feed(&bytes);
+        expect_that!(decoder.message::<String>(), err(anything()));
+    }
+}
--- a/system/tests/link.rs
+++ b/system/tests/link.rs
@@ -8,6 +8,7 @@
 use ivyhatch_protocol::configuration::{Document, Item};
 use ivyhatch_protocol::feed::{Shared, ToFollower};
 use ivyhatch_protocol::frame::{Decoder, encode_fragments};
+use ivyhatch_protocol::ids::mix;
 use ivyhatch_system::bulk::BulkFrames;
 use ivyhatch_system::link::{Received, Writer, read_fragments};
 use tokio::io::{AsyncReadExt, DuplexStream, duplex};
@@ -23,11 +24,13 @@
     LocalSet::new().block_on(&runtime.expect("a runtime"), test)
 }
 
-/// A configuration of this many routes, of some 300 bytes each.
-fn document(routes: usize) -> Document {
+/// A configuration of this many routes, of some 300 bytes each, that hardly shrinks.
+fn document(routes: u64) -> Document {
+    let letter = |at: u64| char::from(b'0' + (mix(at) % 64) as u8).to_string().replace('\\', "~");
+    let padding = |route: u64| (0..250).map(|at| letter(route * 250 + at)).collect::<String>();
     let item = |at| Item {
         name: format!("route-{at}"),
-        json: format!("{{\"name\":\"route-{at}\",\"padding\":\"{}\"}}", "x".repeat(250)),
+        json: format!("{{\"name\":\"route-{at}\",\"padding\":\"{}\"}}", padding(at)),
     };
     let sections = BTreeMap::from([("routes".to_owned(), (0..routes).map(item).collect())]);
     Document { revision: 7, sections, ..Document::default() }
