Own stalls count only where there are sessions

Cause: a router whose first event came 300 ms after its state was made took that for a stall of its own and looked for control nodes 100 ms later.

--- a/routing/src/follow.rs
+++ b/routing/src/follow.rs
@@ -139,7 +139,7 @@
 
     /// Takes one event in and adds what is to be done.
     pub fn handle(&mut self, now: Nanos, heard: Heard, out: &mut Vec<Done>) {
-        if now >= self.now + OWN_STALL {
+        if now >= self.now + OWN_STALL && !self.links.is_empty() {
             self.catching_up_until = now + CATCH_UP;
         }
         self.now = self.now.max(now);
--- a/routing/tests/follow.rs
+++ b/routing/tests/follow.rs
@@ -558,3 +558,11 @@
         expect_that!(done.contains(&Done::Touch(false)), eq(true));
     }
 }
+
+#[gtest]
+fn a_first_event_that_comes_late_is_no_stall() {
+    let mut follower = Follower::new(router(), &nodes(3), START);
+    let mut done = Vec::new();
+    follower.handle(START + 10 * SECOND, Heard::Tick, &mut done);
+    expect_that!(done.contains(&Done::Links(nodes(3))), eq(true), "there is nothing to catch up with");
+}
