--- a/protocol/src/frame.rs
+++ b/protocol/src/frame.rs
@@ -117,12 +117,17 @@
     bytes
 }
 
-fn read_message<M: for<'a> Readable<'a, LittleEndian>>(flags: u32, body: &[u8]) -> Result<M, FrameError> {
+/// The message, and its length once it is decompressed.
+fn read_message<M: for<'a> Readable<'a, LittleEndian>>(
+    flags: u32,
+    body: &[u8],
+) -> Result<(M, usize), FrameError> {
     if flags & COMPRESSED != 0 {
         let plain = decompress_body(body)?;
         return read_message(flags & !COMPRESSED, &plain);
     }
-    M::read_from_buffer(body).map_err(|error| FrameError::Unreadable(error.to_string()))
+    let message = M::read_from_buffer(body);
+    message.map(|message| (message, body.len())).map_err(|error| FrameError::Unreadable(error.to_string()))
 }
 
 fn decompress_body(body: &[u8]) -> Result<Vec<u8>, FrameError> {
@@ -143,6 +148,7 @@
     /// The fragments of a message that has not come whole.
     fragments: Vec<u8>,
     fragments_taken: u64,
+    last_length: usize,
 }
 
 impl Decoder {
@@ -160,6 +166,11 @@
         self.fragments_taken
     }
 
+    /// The length of the last message, decompressed.
+    pub fn last_length(&self) -> usize {
+        self.last_length
+    }
+
     /// The next whole message, if it has come.
     ///
     /// # Errors
@@ -179,8 +190,9 @@
                 last.then(|| read_message(flags, &std::mem::take(&mut self.fragments))).transpose()?
             };
             self.skip(HEAD + length);
-            if message.is_some() {
-                return Ok(message);
+            if let Some((message, length)) = message {
+                self.last_length = length;
+                return Ok(Some(message));
             }
         }
         Ok(None)
--- a/system/src/link.rs
+++ b/system/src/link.rs
@@ -12,6 +12,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
+use tokio::task::yield_now;
 use tokio::time::{Instant, sleep_until, timeout};
 
 /// A connection that is not up by then is tried anew: behind a cut, or before its machine is up, nothing answers. Short first, so
@@ -32,6 +33,8 @@
 const BULK_WITHIN: Duration = Duration::from_millis(1000);
 /// What the rate allows in this time goes at once after a rest.
 const BULK_REST: Duration = Duration::from_millis(100);
+/// Other tasks have their turn between the decoding of a message of this length and its use.
+const LARGE: usize = 64 * 1024;
 const BACKLOG: u32 = 1024;
 
 /// A listening socket.
@@ -267,6 +270,10 @@
         decoder.feed(&buffer[..read]);
         let fragments_before = decoder.fragments_taken();
         while let Some(message) = decoder.message()? {
+            if decoder.last_length() >= LARGE {
+                // Decoding it took its time, and so does what comes of it.
+                yield_now().await;
+            }
             take(Received::Message(message));
         }
         if decoder.fragments_taken() > fragments_before {
