--- /dev/null
+++ b/control/src/server_list_duty.rs
@@ -0,0 +1,139 @@
+//! The duty to read the platform's list of servers for all: it lies with the leader of one partition.
+
+use ivyhatch_protocol::feed::{Server, Servers};
+use ivyhatch_protocol::ids::{Epoch, NodeId, Part};
+use ivyhatch_protocol::peer::Peer;
+use ivyhatch_protocol::servers::List;
+
+use crate::control_plane::ControlPlane;
+use crate::interface::Output;
+use crate::server_list::{self, Duty, ReadId};
+
+/// The duty's name: it lies with the leader of the partition into which this falls.
+const DUTY: &str = "platform-list";
+
+/// The partition whose leader has the duty.
+pub(crate) fn partition() -> Part {
+    Part::of(DUTY)
+}
+
+impl ControlPlane {
+    pub(crate) fn can_read_server_list(&self) -> bool {
+        self.list_reader.can_read(self.now)
+    }
+
+    fn has_list(&self) -> bool {
+        self.list.position() != List::default().position()
+    }
+
+    /// What this node knows of the duty.
+    fn list_duty(&self) -> Duty {
+        let heartbeats = self.peers.values().filter_map(|peer| peer.heartbeat.as_ref());
+        let (known, number) = self.list.position();
+        let newest = heartbeats.map(|heartbeat| heartbeat.servers.0).chain([known]).max().unwrap_or_default();
+        Duty {
+            owned: self.leads(partition()).filter(|_| self.has_quorum()),
+            newest,
+            newest_in_touch: newest.node == self.identity.node || self.is_bidirectional(newest.node),
+            has_list: number > 0,
+        }
+    }
+
+    pub(crate) fn check_list_duty(&mut self, out: &mut Vec<Output>) {
+        let duty = self.list_duty();
+        self.drive_list_reader(server_list::Input::Checked(duty), None, out);
+    }
+
+    pub(crate) fn server_list_read(&mut self, read: ReadId, servers: Vec<Server>, out: &mut Vec<Output>) {
+        let duty = self.list_duty();
+        self.drive_list_reader(server_list::Input::Answered(read, duty), Some(servers), out);
+    }
+
+    pub(crate) fn server_list_failed(&mut self, read: ReadId, out: &mut Vec<Output>) {
+        self.drive_list_reader(server_list::Input::Failed(read), None, out);
+    }
+
+    fn drive_list_reader(
+        &mut self,
+        input: server_list::Input,
+        mut servers: Option<Vec<Server>>,
+        out: &mut Vec<Output>,
+    ) {
+        let mut outputs = Vec::new();
+        let before = self.list_reader.reads_under();
+        self.list_reader.handle(self.now, input, &mut outputs);
+        let after = self.list_reader.reads_under();
+        if after != before {
+            let pairs =
+                after.map_or_else(|| "reads=false".into(), |epoch| format!("reads=true epoch={epoch}"));
+            out.push(Output::Log("list_duty", pairs));
+        }
+        for output in outputs {
+            match output {
+                server_list::Output::Read(read) => out.push(Output::ReadServerList(read)),
+                server_list::Output::Publish(epoch) => {
+                    self.publish_list(epoch, servers.take().unwrap_or_default(), out);
+                }
+                server_list::Output::Renew(newest) => self.renew_list_duty(newest, out),
+                server_list::Output::Failing(failures) => {
+                    out.push(Output::Log("list_failed", format!("in_a_row={failures}")));
+                }
+                // The others are told at once, so that one of them begins.
+                server_list::Output::Leave => self.heartbeat(out),
+            }
+        }
+    }
+
+    /// Another node has led the duty's partition since: this one steps down, and starts an election at its next tick.
+    fn renew_list_duty(&mut self, newest: Epoch, out: &mut Vec<Output>) {
+        out.push(Output::Log("list_duty", format!("reads=false deposed_by={newest}")));
+        let Some(duty) = self.partitions.get_mut(&partition()) else { return };
+        let mut effects = Vec::new();
+        duty.outdated(newest, &mut effects);
+        self.carry_out(partition(), effects, out);
+    }
+
+    /// The platform has handed its list to this node, the reader under this epoch.
+    fn publish_list(&mut self, epoch: Epoch, servers: Vec<Server>, out: &mut Vec<Output>) {
+        if epoch == Epoch::default() {
+            // For those who follow this node: until there is a quorum nobody has the duty.
+            if !servers.is_empty() {
+                self.list.read(self.now, epoch, servers);
+                self.log_list("first", out);
+            }
+            return;
+        }
+        let Some(news) = self.list.read(self.now, epoch, servers) else { return };
+        self.log_list("read", out);
+        let changed = news.upsert.iter().filter(|_| news.from.is_some());
+        out.extend(changed.map(|server| Output::Log("server", describe(server))));
+        self.send_to_all(&Peer::Servers(news), out);
+    }
+
+    pub(crate) fn on_server_news(&mut self, from: NodeId, news: Servers, out: &mut Vec<Output>) {
+        let before = self.list.position();
+        if !self.list.follow(self.now, news) {
+            out.push(Output::Send(from, Peer::WantServers));
+        } else if before != self.list.position() {
+            self.log_list("followed", out);
+        }
+    }
+
+    pub(crate) fn send_server_list(&mut self, to: NodeId, out: &mut Vec<Output>) {
+        if self.has_list() {
+            out.push(Output::Send(to, Peer::Servers(self.list.whole(self.now))));
+        }
+    }
+
+    fn log_list(&self, how: &str, out: &mut Vec<Output>) {
+        let (epoch, number) = self.list.position();
+        let pairs = format!("how={how} epoch={epoch} number={number} servers={}", self.list.len());
+        out.push(Output::Log("servers", pairs));
+    }
+}
+
+fn describe(server: &Server) -> String {
+    let Server { id, zone, draining, cold_left_ms, .. } = server;
+    let left = server.remaining_ms.map_or_else(String::new, |left| format!(" remaining_ms={left}"));
+    format!("id={id} zone={zone} draining={draining} cold_left_ms={cold_left_ms}{left}")
+}
--- a/protocol/src/configuration.rs
+++ b/protocol/src/configuration.rs
@@ -271,6 +271,9 @@
     pub limits: Limits,
 }
 
+/// A configuration that is nested deeper than this is refused: others that read it may not be able to.
+const DEEPEST: usize = 127;
+
 type Fields = BTreeMap<String, Box<RawValue>>;
 
 fn unreadable(error: &serde_json::Error) -> ConfigurationError {
@@ -311,6 +314,26 @@
     }
 }
 
+/// How deep JSON is nested.
+fn nesting(json: &str) -> usize {
+    let (mut depth, mut deepest) = (0_usize, 0);
+    let (mut in_string, mut is_escaped) = (false, false);
+    for byte in json.bytes() {
+        match byte {
+            _ if is_escaped => is_escaped = false,
+            b'\\' if in_string => is_escaped = true,
+            b'"' => in_string = !in_string,
+            b'[' | b'{' if !in_string => {
+                depth += 1;
+                deepest = deepest.max(depth);
+            }
+            b']' | b'}' if !in_string => depth = depth.saturating_sub(1),
+            _ => {}
+        }
+    }
+    deepest
+}
+
 /// Replaces items by name; new ones are added at the end. Of two of one name the later one stays.
 fn upsert_items(items: &mut Vec<Item>, upsert: &[Item]) {
     let mut latest: HashMap<&str, &Item> = upsert.iter().map(|item| (item.name.as_str(), item)).collect();
@@ -368,6 +391,10 @@
     /// Where a field is missing or of the wrong kind; the error names it.
     pub fn view(&self) -> Result<Configuration, ConfigurationError> {
         let text = self.text();
+        // Fields that nothing reads are passed over at any depth.
+        if nesting(&text) > DEEPEST {
+            return Err(ConfigurationError::Unreadable(format!("it is nested more than {DEEPEST} deep")));
+        }
         // Reading by way of `figment` takes ten times as long: only the place of an error is worth it.
         serde_json::from_str(&text).map_err(|error| {
             let named = Figment::from(Json::string(&text)).extract::<Configuration>();
--- a/protocol/src/frame.rs
+++ b/protocol/src/frame.rs
@@ -126,8 +126,12 @@
         let plain = decompress_body(body)?;
         return read_message(flags & !COMPRESSED, &plain);
     }
-    let message = M::read_from_buffer(body);
-    message.map(|message| (message, body.len())).map_err(|error| FrameError::Unreadable(error.to_string()))
+    let (message, read) = M::read_with_length_from_buffer(body);
+    let message = message.map_err(|error| FrameError::Unreadable(error.to_string()))?;
+    if read < body.len() {
+        return Err(FrameError::Unreadable(format!("{} bytes too long", body.len() - read)));
+    }
+    Ok((message, body.len()))
 }
 
 fn decompress_body(body: &[u8]) -> Result<Vec<u8>, FrameError> {
--- a/protocol/tests/configuration.rs
+++ b/protocol/tests/configuration.rs
@@ -115,3 +115,17 @@
         expect_that!(there, eq(&two));
     }
 }
+
+#[gtest]
+fn only_nesting_counts_toward_the_depth_that_is_refused() {
+    let with = |field: &str| {
+        let text = WHOLE.replacen('{', &format!("{{\"unknown\":{field},"), 1);
+        Document::read(text.as_bytes()).and_then(|document| document.checked(5)).map(drop)
+    };
+    let nested = |depth: usize| format!("{}{}", "[".repeat(depth), "]".repeat(depth));
+    expect_that!(with(&nested(126)), ok(anything()));
+    expect_that!(with(&nested(127)), err(matches_pattern!(ConfigurationError::Unreadable(_))));
+    // Beside each other, and in a string, behind an escaped quote.
+    expect_that!(with(&format!("[{}]", vec!["[{}]"; 500].join(","))), ok(anything()));
+    expect_that!(with(&format!("\"{}\\\"{}\"", "[".repeat(300), "{".repeat(300))), ok(anything()));
+}
--- a/system/src/lib.rs
+++ b/system/src/lib.rs
@@ -5,7 +5,7 @@
 
 pub mod bulk;
 pub mod clock;
-mod cloud;
+pub mod cloud;
 mod control;
 mod disk;
 mod http;
