--- a/protocol/tests/properties.rs
+++ b/protocol/tests/properties.rs
@@ -91,8 +91,8 @@
     let frames = [
         encode(&FromFollower::Follow { router: router.clone(), primary: true, position: position.clone() }),
         encode(&FromFollower::Want { position }),
-        encode(&ToFollower::Whole { sequence: 4, document: document.clone() }),
-        encode(&ToFollower::Change { from: 3, to: 4, change: change.clone() }),
+        encode(&ToFollower::Whole { sequence: 4, document: document.clone().into() }),
+        encode(&ToFollower::Change { from: 3, to: 4, change: change.clone().into() }),
         encode(&ToFollower::Evacuations(evacuations)),
         encode(&ToFollower::Servers(servers.clone())),
         encode(&Peer::Sessions(vec![router])),
--- a/system/src/control.rs
+++ b/system/src/control.rs
@@ -11,7 +11,7 @@
 use ivyhatch_control::server_list::ReadId;
 use ivyhatch_control::stored::Stored;
 use ivyhatch_control::{ControlPlane, Identity, Input, Output, RequestId, SessionId, Token};
-use ivyhatch_protocol::feed::{FromFollower, Server};
+use ivyhatch_protocol::feed::{FromFollower, Server, ToFollower};
 use ivyhatch_protocol::ids::{NodeId, hash, mix};
 use ivyhatch_protocol::peer::{AdminRequest, AdminResponse, Peer};
 use ivyhatch_protocol::settings::Settings;
@@ -24,6 +24,7 @@
 use tokio::time::{MissedTickBehavior, interval, sleep, timeout};
 
 use crate::RoleError;
+use crate::bulk::BulkFrames;
 use crate::clock::Clock;
 use crate::cloud::{Cloud, CloudError};
 use crate::disk::Disk;
@@ -58,6 +59,7 @@
     peers: RefCell<BTreeMap<NodeId, Writer>>,
     dialling: RefCell<BTreeMap<NodeId, JoinHandle<()>>>,
     sessions: RefCell<BTreeMap<SessionId, Writer>>,
+    bulk: RefCell<BulkFrames>,
     requests: RefCell<BTreeMap<RequestId, oneshot::Sender<AdminResponse>>>,
     next: RefCell<u64>,
     disk: Option<Disk>,
@@ -117,6 +119,7 @@
         peers: RefCell::default(),
         dialling: RefCell::default(),
         sessions: RefCell::default(),
+        bulk: RefCell::default(),
         requests: RefCell::default(),
         next: RefCell::new(0),
         disk,
@@ -219,7 +222,7 @@
                 let _ = self.requests.borrow_mut().remove(&id).map(|waits| waits.send(answer));
             }
             Output::Follower(id, message) => {
-                let sent = self.sessions.borrow().get(&id).map(|writer| writer.send(&message));
+                let sent = self.sessions.borrow().get(&id).map(|writer| self.tell_follower(writer, &message));
                 if sent == Some(false) {
                     self.sessions.borrow_mut().remove(&id);
                 }
@@ -231,6 +234,16 @@
         }
     }
 
+    /// The configuration is bulk; all of it, so that its changes stay in their order.
+    fn tell_follower(&self, writer: &Writer, message: &ToFollower) -> bool {
+        match message {
+            ToFollower::Whole { .. } | ToFollower::Change { .. } => {
+                writer.send_bulk(&self.bulk.borrow_mut().of(message))
+            }
+            _ => writer.send(message),
+        }
+    }
+
     fn number(&self) -> u64 {
         let mut next = self.next.borrow_mut();
         *next += 1;
