A router without contact reads its settings anew

Cause: as for control nodes: a router whose seeds were all gone when it started followed nobody until SIGHUP, though its settings may have changed meanwhile. Change: without contact to the control plane its settings are read every two seconds. Test: cli/tests/system_membership.rs, router_with_dead_seeds_follows_once_its_settings_name_live_ones.

--- a/cli/tests/system_membership.rs
+++ b/cli/tests/system_membership.rs
@@ -6,7 +6,7 @@
 
 use serde_json::{Value, json};
 use system_common::calls::call;
-use system_common::{CONTROL, CORE, Process, Site, configuration, until};
+use system_common::{CONTROL, CORE, Process, ROUTER, Site, configuration, until};
 
 /// Takes the place of the third machine, in its zone.
 const SUCCESSOR: u8 = 16;
@@ -140,3 +140,17 @@
     until("the successor votes", || votes(&site, 11, SUCCESSOR));
     site.until_revision(SUCCESSOR, 5);
 }
+
+#[test]
+fn router_with_dead_seeds_follows_once_its_settings_name_live_ones() {
+    let site = Site::new();
+    let _core = founded(&site);
+    let _router = site.router(ROUTER, &[17, 18, 19]);
+    until("it waits", || !site.is_ready(ROUTER));
+    let settings = site.settings(ROUTER, &CORE, false);
+    std::fs::write(site.settings_file(ROUTER), settings.to_string()).expect("it is written");
+    until("it has a configuration, and says so", || {
+        site.directory(11, "ra")
+            .is_some_and(|answer| answer["addresses"].as_array().is_some_and(|all| !all.is_empty()))
+    });
+}
--- a/routing/src/follow.rs
+++ b/routing/src/follow.rs
@@ -185,6 +185,11 @@
         }
     }
 
+    /// Whether any control node that is in contact with a quorum is heard.
+    pub fn in_touch(&self) -> bool {
+        self.touch
+    }
+
     /// The configuration's number; 0 while there is none.
     pub fn sequence(&self) -> u64 {
         self.sequence
--- a/system/src/router/sessions.rs
+++ b/system/src/router/sessions.rs
@@ -10,6 +10,7 @@
 use ivyhatch_protocol::feed::{FromFollower, Router, RouterState, ToFollower};
 use ivyhatch_protocol::ids::NodeId;
 use ivyhatch_protocol::settings::Settings;
+use ivyhatch_protocol::{Nanos, SECOND};
 use ivyhatch_routing::follow::{Done, Follower, Heard};
 use ivyhatch_routing::table::PreparedChange;
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
@@ -20,6 +21,8 @@
 use crate::clock::Clock;
 use crate::link::{self, Received, Writer};
 
+/// A router without contact to the control plane reads its settings anew after this.
+const REREAD_INTERVAL: Nanos = 2 * SECOND;
 const TICK: Duration = Duration::from_millis(100);
 /// Wait before a session that has ended is opened anew.
 const AGAIN: Duration = Duration::from_millis(100);
@@ -38,6 +41,8 @@
     dispatcher: Dispatcher,
     changes: UnboundedSender<Change>,
     configured: Cell<bool>,
+    /// When the settings were read last.
+    reread_at: Cell<Nanos>,
     settings: Settings,
 }
 
@@ -60,6 +65,7 @@
             dispatcher,
             changes,
             configured: Cell::new(false),
+            reread_at: Cell::new(0),
             settings: settings.clone(),
         });
         spawn_local(host.clone().configure(decided));
@@ -76,6 +82,7 @@
                 }
                 due = Instant::now() + TICK;
                 ticking.hear(Heard::Tick);
+                ticking.reread_without_contact();
             }
         });
         Self(host)
@@ -99,6 +106,18 @@
 }
 
 impl Host {
+    /// A settings file may change without a signal: a router that hears no control node looks whether it names others now.
+    fn reread_without_contact(self: &Rc<Self>) {
+        let now = self.clock.now();
+        if self.follower.borrow().in_touch() || now < self.reread_at.get() + REREAD_INTERVAL {
+            return;
+        }
+        self.reread_at.set(now);
+        if let Ok(settings) = Settings::from_environment() {
+            self.hear(Heard::Seeds(seeds(&settings)));
+        }
+    }
+
     fn hear(self: &Rc<Self>, heard: Heard) {
         let mut done = Vec::new();
         self.follower.borrow_mut().handle(self.clock.now(), heard, &mut done);
