--- a/cli/tests/system_membership.rs
+++ b/cli/tests/system_membership.rs
@@ -154,3 +154,32 @@
             .is_some_and(|answer| answer["addresses"].as_array().is_some_and(|all| !all.is_empty()))
     });
 }
+
+/// How many changes have been committed, over all partitions.
+fn changes(site: &Site, at: u8) -> u64 {
+    let (_, report) = call(site.at(at, CONTROL), "GET", "/-/status", None, "").expect("it answers");
+    let partitions = report["partitions"].as_array().expect("it lists the partitions");
+    partitions.iter().filter_map(|partition| partition["committed"].as_u64()).sum()
+}
+
+#[test]
+fn copy_of_an_evacuation_that_was_held_up_and_given_up_changes_nothing() {
+    let site = Site::new();
+    let core = founded(&site);
+    let before = changes(&site, 11);
+    // The third stands still with the order on its socket; its caller gives up, and the zone is emptied and taken back elsewhere.
+    core[2].signal("STOP");
+    let mut caller = std::net::TcpStream::connect(site.at(13, CONTROL)).expect("the system takes it");
+    let order = "POST /-/evacuations/za HTTP/1.1\r\nHost: control\r\nContent-Length: 0\r\n\r\n";
+    std::io::Write::write_all(&mut caller, order.as_bytes()).expect("it is sent");
+    drop(caller);
+    site.order(11, "POST", "/-/evacuations/za", None, "");
+    site.order(12, "DELETE", "/-/evacuations/za", None, "");
+    assert_eq!(changes(&site, 11), before + 2);
+    core[2].signal("CONT");
+    until("it votes again", || votes(&site, 11, 13));
+    // Whatever it still had to do it has done by the time that it knows of both changes and has answered a call.
+    until("it knows of both", || changes(&site, 13) >= before + 2);
+    site.put(13, 5, &configuration(6, &[("c", json!({}))]));
+    assert_eq!(changes(&site, 11), before + 3);
+}
