A router tries all control nodes that it knows in turn while it reaches none

Change: those that were passed over are ordered by when they were tried last. Test: routing/tests/follow.rs, each_known_one_is_tried_again_soon_while_none_can_be_reached (not tried within 6 s before).

--- a/routing/src/follow.rs
+++ b/routing/src/follow.rs
@@ -310,8 +310,10 @@
         self.passed_over.extend(unreached.map(|(node, _)| (*node, now + PASSED_OVER)));
         self.passed_over.retain(|_, until| now < *until);
         let lot = |node: &NodeId| mix(hash(self.router.front.as_bytes()) ^ mix(u64::from(node.0)));
-        let mut order: Vec<(bool, u64, NodeId)> =
-            self.known.iter().map(|node| (self.passed_over.contains_key(node), lot(node), *node)).collect();
+        // Where all have been passed over, the one that was tried longest ago comes first: a cut may have ended.
+        let until = |node: &NodeId| self.passed_over.get(node).copied().unwrap_or_default();
+        let mut order: Vec<(Nanos, u64, NodeId)> =
+            self.known.iter().map(|node| (until(node), lot(node), *node)).collect();
         order.sort_unstable();
         let chosen: BTreeSet<NodeId> = order.into_iter().take(MOST_LINKS).map(|(.., node)| node).collect();
         if chosen.iter().eq(self.links.keys()) {
--- a/routing/tests/follow.rs
+++ b/routing/tests/follow.rs
@@ -203,6 +203,29 @@
     expect_that!(routed.links, eq(&nodes(3)));
 }
 
+#[gtest]
+fn each_known_one_is_tried_again_soon_while_none_can_be_reached() {
+    // More are gone for good than are followed at once; the one that is there again may be any of them.
+    for wanted in nodes(6) {
+        let mut routed = Routed::new(6);
+        for _ in 0..300 {
+            let links = routed.links.clone();
+            links.into_iter().for_each(|node| drop(routed.hear(Heard::Lost(node))));
+            routed.pass(TICK);
+        }
+        let mut tried_after = None;
+        for tick in 0..60 {
+            if routed.links.contains(&wanted) {
+                tried_after.get_or_insert(tick);
+            }
+            let links = routed.links.clone();
+            links.into_iter().for_each(|node| drop(routed.hear(Heard::Lost(node))));
+            routed.pass(TICK);
+        }
+        expect_that!(tried_after, some(le(45)), "{wanted}");
+    }
+}
+
 #[gtest]
 fn one_that_cannot_be_reached_makes_room_for_another() {
     let mut routed = Routed::new(4);
