Lab: the play is split by concern: who decides, how it begins, what it keeps

Change: decider.rs (`Decider` and its checks), state.rs (nodes, clients, requests, attempts, probes, queued events), setup.rs (settings of the nodes, `Play::new`); mod.rs keeps `Play`, the entry points and the loop. Code is moved only; fields that other modules of the play use are `pub(super)`.

--- /dev/null
+++ b/lab/src/play/setup.rs
@@ -0,0 +1,169 @@
+//! How a play begins: the settings of its nodes, and the nodes, servers and events that are there from the start.
+
+use std::collections::{BTreeMap, BinaryHeap, HashMap};
+
+use brookfield::{Balancer, ClassSettings, Discovery, Effect, Event, Reports, RuleFigures, Settings, ZoneId};
+
+use super::{Decider, MS, Next, Node, Play, START, Who};
+use crate::arrivals::Arrivals;
+use crate::oracle::{GRACE, Oracle, SLACK};
+use crate::random::Stream;
+use crate::reference::{Known, Policy, Reference, Setup};
+use crate::report::Books;
+use crate::server::{COLD, FALL_SPAN, Server, TIP, WARM_AFTER};
+use crate::world::{LONGEST_PAUSE, World, seconds};
+
+fn settings(world: &World, decider: &Decider) -> Settings {
+    let class = |class: &crate::world::Class| ClassSettings {
+        aim: class.aim_ms * MS,
+        deadline: class.deadline_ms * MS,
+        worth: class.worth,
+        effect: if class.once { Effect::Once } else { Effect::Repeatable },
+        ..ClassSettings::default()
+    };
+    let mut settings = Settings {
+        nodes: world.nodes,
+        classes: world.clients.classes.iter().map(class).collect(),
+        tenants: world.clients.tenants.iter().map(|tenant| tenant.quota).collect(),
+        discovery: Discovery::Asked,
+        reports: if world.reports_on_answers { Reports::Piggyback } else { Reports::Pull },
+        probe_price: 0.01,
+        repeats_marked: world.clients.marks_repeats,
+        rules: RuleFigures {
+            answer_slack: SLACK,
+            ask_within: 10_000 * MS,
+            drain_grace: GRACE,
+            start_capacity: COLD,
+            warm_after: WARM_AFTER,
+            tip_multiple: TIP,
+            fall_span: FALL_SPAN,
+        },
+        ..Settings::new(ZoneId(0), world.zones)
+    };
+    settings.limits.probes = decider.probes.unwrap_or(true);
+    settings.limits.attempts = decider.attempts.unwrap_or(6);
+    settings.limits.second_copies = decider.second_copies.unwrap_or(true);
+    settings.limits.retry_after = LONGEST_PAUSE;
+    settings
+}
+
+fn setup(world: &World, decider: &Decider) -> Setup {
+    let known = |class: &crate::world::Class| Known {
+        once: class.once,
+        aim: class.aim_ms * MS,
+        work: class.work_ms * 1e6,
+        elsewhere: class.elsewhere_ms * 1e6,
+    };
+    Setup {
+        policy: decider.policy,
+        home: 0,
+        threshold: decider.threshold.unwrap_or(0.9),
+        attempts: decider.attempts.unwrap_or(6),
+        classes: world.clients.classes.iter().map(known).collect(),
+        ways: Vec::new(),
+    }
+}
+
+impl<'a> Play<'a> {
+    pub(super) fn new(world: &'a World, decider: &'a Decider, seed: u64) -> Self {
+        let stream = |purpose| Stream::new(seed, purpose, 0);
+        let zone_nodes = |zone: u32| {
+            let of: Vec<usize> =
+                (0..world.nodes).filter(|n| n % world.zones == zone).map(|n| n as usize).collect();
+            if of.is_empty() { (0..world.nodes as usize).collect() } else { of }
+        };
+        let zones = world.zones as usize;
+        let mut play = Self {
+            world,
+            decider,
+            settings: settings(world, decider),
+            setup: setup(world, decider),
+            now: START,
+            end: START + seconds(world.seconds),
+            queue: BinaryHeap::new(),
+            order: 0,
+            nodes: Vec::new(),
+            fronts: (0..world.zones).map(zone_nodes).collect(),
+            servers: world.each_server().map(Server::new).collect(),
+            open: HashMap::new(),
+            jobs: HashMap::new(),
+            probes_out: HashMap::new(),
+            clients: BTreeMap::new(),
+            numbers: 0,
+            cut: vec![0; zones],
+            farther: vec![0.0; zones],
+            lossy: vec![0.0; zones],
+            lists_down: 0,
+            lists_made: Vec::new(),
+            list_holds: false,
+            stale: None,
+            oracle: Oracle::default(),
+            books: Books::new(world),
+            arrivals: Arrivals::new(world, seed),
+            coming: None,
+            patience: stream("patience"),
+            choices: stream("fronts"),
+            noise: stream("noise"),
+            links: stream("links"),
+            lists: stream("lists"),
+            errors: stream("errors"),
+            seeds: stream("nodes"),
+            attempts: 0,
+            crossed: 0,
+            probes: 0,
+            events: 0,
+            most_open: 0,
+            most_connections: 0,
+        };
+        for (number, trouble) in world.trouble.iter().enumerate() {
+            let (from, to) = trouble.span();
+            play.at(START + from, Next::Begins(number));
+            play.at(START + to, Next::Stops(number));
+        }
+        for node in 0..world.nodes as usize {
+            let who = play.decider_of(node);
+            play.nodes.push(Node {
+                who,
+                life: 0,
+                up: true,
+                dead: false,
+                watching: false,
+                told_until: 0,
+                open: 0,
+                idle: HashMap::new(),
+                connections: 0,
+            });
+            // A node starts with the list that it held last, as one does that has a file of it.
+            play.tell(node, Event::Start);
+            let list = play.list();
+            let members = play.lists_made[list].to_vec();
+            play.tell(node, Event::Fleet { scope: brookfield::ListScope::Cached, members });
+        }
+        if world.discovery.whole_every > 0.0 {
+            play.at(START + seconds(world.discovery.whole_every), Next::Whole);
+        }
+        play.coming = play.arrivals.next();
+        if play.coming.is_some() {
+            play.at(START, Next::Arrives);
+        }
+        play.start_closed();
+        play
+    }
+
+    /// Who decides at a node from its start on.
+    pub(super) fn decider_of(&mut self, node: usize) -> Who {
+        let home = self.home(node);
+        let seed = self.seeds.seed();
+        if self.decider.policy == Policy::Module {
+            let settings = Settings { home: ZoneId(home), ..self.settings.clone() };
+            let balancer =
+                Balancer::new(settings, seed, self.now).expect("a checked world gives usable settings");
+            return Who::Module(Box::new(balancer));
+        }
+        let cross = self.world.cross_ms * 1e6;
+        let ways =
+            (0..self.world.zones).map(|zone| if zone == home { cross / 10.0 } else { cross }).collect();
+        let setup = Setup { home, ways, ..self.setup.clone() };
+        Who::Reference(Box::new(Reference::new(setup, Stream::new(seed, "reference", 0))))
+    }
+}
