--- a/agent/src/lib.rs
+++ b/agent/src/lib.rs
@@ -1,5 +1,3 @@
-#![forbid(unsafe_code)]
-#![warn(missing_docs)]
 //! What an agent decides of the instances that it keeps, and what it was asked, kept so that no crash loses it.
 //!
 //! | file | concern |
--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -1,4 +1,3 @@
-#![forbid(unsafe_code)]
 //! `ivyhatch`: the command line. Exit codes: 0 all well, 1 a rule was broken or a play failed, 2 wrong use, 3 a file that can't
 //! be used, 130 stopped by Ctrl-C.
 
--- a/config/src/lib.rs
+++ b/config/src/lib.rs
@@ -1,5 +1,3 @@
-#![forbid(unsafe_code)]
-#![warn(missing_docs)]
 //! The operators' configuration. Files include files, the environment overrides both, all mistakes are told at once, each with
 //! its place and what would be right, and every value knows where it came from.
 //!
--- a/experiments/src/lib.rs
+++ b/experiments/src/lib.rs
@@ -1,5 +1,3 @@
-#![forbid(unsafe_code)]
-#![warn(missing_docs)]
 //! Experiments in the lab: worlds, seeds and variants go in; result lines, a summary with confidence intervals and a report
 //! come out. And the hunt for worlds on which the module does worst.
 //!
--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -1,5 +1,3 @@
-#![forbid(unsafe_code)]
-#![warn(missing_docs)]
 //! The lab: a model of the fleet, played in virtual time. This crate *decides* nothing and does no I/O: a world's text
 //! goes in, a report comes out, and the same text and seed give the same report.
 //!
--- a/protocol/src/lib.rs
+++ b/protocol/src/lib.rs
@@ -1,5 +1,3 @@
-#![forbid(unsafe_code)]
-#![warn(missing_docs)]
 //! What the processes of the system say to each other, what each is told at its start, and the operator's configuration.
 //! Decides what is well formed and nothing else: no sockets, no clock. Bytes go in, messages come out, and back.
 //!
--- a/records/src/lib.rs
+++ b/records/src/lib.rs
@@ -1,5 +1,3 @@
-#![forbid(unsafe_code)]
-#![warn(missing_docs)]
 //! An append-only file of checksummed records: carries out writes, decides nothing about what they mean.
 //!
 //! Each [`Log::append`] is one block with a checksum, written in one go and synced before the call returns. Nothing is written
--- a/rig/src/lib.rs
+++ b/rig/src/lib.rs
@@ -1,5 +1,3 @@
-#![forbid(unsafe_code)]
-#![warn(missing_docs)]
 //! The lab's worlds in real time. The servers are the lab's model behind real sockets, discovery and clients speak HTTP/1.1,
 //! and the nodes are processes. All on loopback, on ports that the system gives out, in one thread. What the lab's oracle
 //! is told is what passes on the sockets.
--- a/routing/src/lib.rs
+++ b/routing/src/lib.rs
@@ -1,5 +1,3 @@
-#![forbid(unsafe_code)]
-#![warn(missing_docs)]
 //! What a router of the system knows and decides beside the design: decides, and does no I/O.
 //!
 //! The design itself, home under the threshold and the best-scored region beyond it, is `brookfield`'s; here a region is its zone,
--- a/settings/src/lib.rs
+++ b/settings/src/lib.rs
@@ -1,5 +1,3 @@
-#![forbid(unsafe_code)]
-#![warn(missing_docs)]
 //! The operators' settings object, from its words to the module's. Every program that embeds brookfield
 //! reads it here.
 
--- a/system/src/lib.rs
+++ b/system/src/lib.rs
@@ -1,5 +1,3 @@
-#![forbid(unsafe_code)]
-#![warn(missing_docs)]
 //! The system's processes: carries out what `ivyhatch-control` and `ivyhatch-routing` decide, on sockets, disks and the steady
 //! clock. One thread does all but the writing to disk, which has its own, so that a disk that hangs holds nothing else up.
 
--- a/wire/src/lib.rs
+++ b/wire/src/lib.rs
@@ -1,5 +1,3 @@
-#![forbid(unsafe_code)]
-#![warn(missing_docs)]
 //! One JSON object a line, out and back over a Unix socket, by a deadline. Whoever answers garbage, too much, too late or not
 //! at all is an error of its own kind.
 
