Router: standard names in place of withdrawn ones; nothing else

| before | now | | --- | --- | | `Inner`, `inner` | `DispatcherState`, `state` | | `Errands`, `errands`, its `moot` | `Outputs`, `outputs`, `not_sent` | | `hear` of the dispatcher, of the sessions | `handle_event`, `handle_input` | | `told` of the dispatcher | `record_load` | | `set_touch`, `touch` | `set_quorum_reachable`, `quorum_reachable` | | `quiet`, `QUIET_PART`, `LEAST_QUIET_MS` | `idle_timeouts`, `IDLE_TIMEOUT_PART`, `LEAST_IDLE_TIMEOUT_MS` | | `took` | `latency` for an answer's start or end, `round_trip` for a connect |

Names of other crates that the router uses (`Heard`, `Done`, `Outcome::Moot`, `Seats`, `Placement::told`) stay as they are there.

--- a/system/src/router/dispatch/answers.rs
+++ b/system/src/router/dispatch/answers.rs
@@ -5,25 +5,25 @@
 use ivyhatch_routing::engine::Load;
 
 use super::attempt::{Ending, Ticket};
-use super::state::{Errands, Inner};
+use super::state::{DispatcherState, Outputs};
 use crate::router::answer::{Head, Reply, Sink};
 
 /// A stream that has broken off goes on within the pause that its route allows, or this where it names none.
 const GAP: f64 = 500.0;
 
-impl Inner {
+impl DispatcherState {
     pub(super) fn begun(
         &mut self,
         ticket: Ticket,
         head: Head,
         load: Option<Load>,
-        errands: &mut Errands,
+        outputs: &mut Outputs,
     ) -> Option<Sink> {
         let now = self.clock.now();
         let open = self.requests.get_mut(&ticket.request).filter(|open| !open.ended)?;
         let flight = open.attempts.get_mut(ticket.attempt as usize).and_then(Option::as_mut)?;
-        let took = now.saturating_sub(flight.since);
-        flight.began = Some(took);
+        let latency = now.saturating_sub(flight.since);
+        flight.began = Some(latency);
         let sink = match &open.sink {
             // It goes on: the client has its head.
             Some(sink) => sink.clone(),
@@ -47,22 +47,22 @@
             log::info!(
                 "event=late route={route} first_ms={} at_server_ms={} attempts={sent} {} load={load:?}",
                 ms(now - open.came),
-                ms(took),
+                ms(latency),
                 expected.unwrap_or_default(),
             );
         }
-        self.told(ticket, load, Some(took), errands);
-        self.hear(ticket.service, Event::Started { request: ticket.request }, errands);
+        self.record_load(ticket, load, Some(latency), outputs);
+        self.handle_event(ticket.service, Event::Started { request: ticket.request }, outputs);
         Some(sink)
     }
 
     /// A server's figures, by an answer that has begun to come or has come whole.
-    pub(super) fn told(
+    pub(super) fn record_load(
         &mut self,
         ticket: Ticket,
         load: Option<Load>,
-        took: Option<Nanos>,
-        errands: &mut Errands,
+        latency: Option<Nanos>,
+        outputs: &mut Outputs,
     ) {
         let now = self.clock.now();
         let Some(balanced) = self.services.get(&ticket.service) else { return };
@@ -70,20 +70,20 @@
         if let Some(load) = load {
             placement.told(now, ticket.backend, load);
         }
-        if let Some(took) = took {
-            placement.begun(now, ticket.request, took);
+        if let Some(latency) = latency {
+            placement.begun(now, ticket.request, latency);
         }
         let util = placement.utilisation(ticket.backend).or_else(|| load.map(|load| load.share()));
         drop(placement);
-        let (backend, outcome, elapsed) = (ticket.backend, Outcome::Served, took.unwrap_or(0));
+        let (backend, outcome, elapsed) = (ticket.backend, Outcome::Served, latency.unwrap_or(0));
         let in_flight = load.map(|load| load.running + load.waiting);
         let report = Report { util, rate: None, in_flight };
         if util.is_some() {
-            self.hear(ticket.service, Event::Probed { backend, outcome, elapsed, report }, errands);
+            self.handle_event(ticket.service, Event::Probed { backend, outcome, elapsed, report }, outputs);
         }
     }
 
-    pub(super) fn settled(&mut self, ticket: Ticket, ending: Ending, errands: &mut Errands) {
+    pub(super) fn settled(&mut self, ticket: Ticket, ending: Ending, outputs: &mut Outputs) {
         let now = self.clock.now();
         let Some(open) = self.requests.get_mut(&ticket.request) else { return };
         let Some(flight) = open.attempts.get_mut(ticket.attempt as usize).and_then(Option::take) else {
@@ -96,7 +96,7 @@
             outcome = Outcome::Spoilt;
         }
         let served = outcome == Outcome::Served;
-        let took = flight.began.unwrap_or_else(|| now.saturating_sub(flight.since));
+        let latency = flight.began.unwrap_or_else(|| now.saturating_sub(flight.since));
         let whole = answer.is_some() && !streamed;
         if served
             && !streamed
@@ -122,7 +122,7 @@
         if let Some(balanced) = self.services.get(&ticket.service) {
             let mut placement = balanced.placement.borrow_mut();
             if whole {
-                placement.begun(now, ticket.request, took);
+                placement.begun(now, ticket.request, latency);
             }
             match outcome {
                 Outcome::ConnectFailed => placement.unreached(now, ticket.backend),
@@ -132,21 +132,21 @@
             placement.settled(ticket.request);
         }
         if whole {
-            self.told(ticket, load, None, errands);
+            self.record_load(ticket, load, None, outputs);
         }
         if goes_on {
             let aim_end = now + (gap * MILLISECOND as f64) as Nanos;
-            self.hear(ticket.service, Event::Broken { request: ticket.request, aim_end }, errands);
+            self.handle_event(ticket.service, Event::Broken { request: ticket.request, aim_end }, outputs);
         }
         let settlement = Settlement {
             request: ticket.request,
             attempt: ticket.attempt,
             outcome,
-            elapsed: took,
+            elapsed: latency,
             ended,
             report: Report::default(),
         };
-        self.hear(ticket.service, Event::Settled(settlement), errands);
+        self.handle_event(ticket.service, Event::Settled(settlement), outputs);
         self.forget_if_done(ticket.request);
     }
 }
--- a/system/src/router/dispatch/attempt.rs
+++ b/system/src/router/dispatch/attempt.rs
@@ -78,7 +78,7 @@
     /// Whether it may go on at another server, and so need not wait for one that has fallen silent.
     pub movable: bool,
     /// A first byte, and each next one, come within these as a rule.
-    pub quiet: (Duration, Duration),
+    pub idle_timeouts: (Duration, Duration),
     /// The event behind which the stream goes on.
     pub last_event: Option<u64>,
     /// When to stop waiting.
--- a/system/src/router/dispatch/mod.rs
+++ b/system/src/router/dispatch/mod.rs
@@ -28,7 +28,7 @@
 use super::upstream::Upstream;
 use crate::clock::Clock;
 pub use attempt::{Asked, Call, Ending, Launch, Service, Ticket};
-use state::{Errands, Inner};
+use state::{DispatcherState, Outputs};
 
 /// How long past a request's end the design is waited for before the request is answered all the same.
 const BACKSTOP: Nanos = 15 * MILLISECOND;
@@ -38,7 +38,7 @@
 /// A handle on the dispatcher. Cheap to clone.
 #[derive(Clone)]
 pub struct Dispatcher {
-    inner: Rc<RefCell<Inner>>,
+    state: Rc<RefCell<DispatcherState>>,
     upstream: Rc<Upstream>,
     seats: Rc<Seats>,
     timer: Rc<Notify>,
@@ -55,15 +55,15 @@
 impl Drop for Waiting {
     fn drop(&mut self) {
         let request = self.request;
-        self.dispatcher.tell(|inner, errands| inner.client_gone(request, errands));
+        self.dispatcher.tell(|state, outputs| state.client_gone(request, outputs));
     }
 }
 
 impl Dispatcher {
     /// One that knows no route and no server yet.
     pub fn new(settings: &Settings, clock: Clock, upstream: Rc<Upstream>, seats: Rc<Seats>) -> Self {
-        let inner = Rc::new(RefCell::new(Inner::new(settings, clock)));
-        Self { inner, upstream, seats, timer: Rc::default(), readied: Rc::default(), clock }
+        let state = Rc::new(RefCell::new(DispatcherState::new(settings, clock)));
+        Self { state, upstream, seats, timer: Rc::default(), readied: Rc::default(), clock }
     }
 
     /// The present.
@@ -73,12 +73,12 @@
 
     /// Whether a configuration and a list of servers are known.
     pub fn is_ready(&self) -> bool {
-        self.inner.borrow().ready
+        self.state.borrow().ready
     }
 
     /// From now on requests are taken. Whether they were not before.
     pub fn become_ready(&self) -> bool {
-        let first = !std::mem::replace(&mut self.inner.borrow_mut().ready, true);
+        let first = !std::mem::replace(&mut self.state.borrow_mut().ready, true);
         if first {
             self.readied.notify_waiters();
         }
@@ -95,22 +95,22 @@
 
     /// Requests that are owed an answer, or whose stream is under way.
     pub fn open(&self) -> usize {
-        self.inner.borrow().requests.values().filter(|open| !open.ended).count()
+        self.state.borrow().requests.values().filter(|open| !open.ended).count()
     }
 
     /// The route of a request.
     pub fn route(&self, host: &str, path: &str) -> Option<Rc<Route>> {
-        self.inner.borrow().table.find(host, path).cloned()
+        self.state.borrow().table.find(host, path).cloned()
     }
 
     /// What clients may send.
     pub fn limits(&self) -> Limits {
-        self.inner.borrow().table.limits()
+        self.state.borrow().table.limits()
     }
 
     /// Takes a change of the configuration in.
     pub fn configure(&self, change: PreparedChange) {
-        let unreadable = self.inner.borrow_mut().configure(change);
+        let unreadable = self.state.borrow_mut().configure(change);
         for error in unreadable {
             log::error!("event=unreadable_item error={:?}", error.to_string());
         }
@@ -122,59 +122,59 @@
 
     /// Takes the list of servers in; `evacuation` tells whether a zone is evacuated, and how often that has changed.
     pub fn servers(&self, servers: Vec<Server>, evacuation: impl Fn(&str) -> (bool, u64)) {
-        self.tell(|inner, errands| inner.servers(servers, evacuation, errands));
+        self.tell(|state, outputs| state.servers(servers, evacuation, outputs));
     }
 
     /// Whether the router can know what is ordered now. The list of servers is to be taken in anew.
-    pub fn set_touch(&self, touch: bool) {
-        self.inner.borrow_mut().touch = touch;
+    pub fn set_quorum_reachable(&self, quorum_reachable: bool) {
+        self.state.borrow_mut().quorum_reachable = quorum_reachable;
     }
 
     /// So many routers share the servers, and this is one's place among them.
     pub fn set_routers(&self, routers: u32, place: u32) {
-        self.inner.borrow_mut().set_routers(routers, place);
+        self.state.borrow_mut().set_routers(routers, place);
     }
 
     /// Takes a request. None where an open one has its id: passed on, it would count as another attempt of that one.
     pub fn submit(&self, asked: Asked) -> Option<(Waiting, oneshot::Receiver<Reply>)> {
         let (reply, answer) = oneshot::channel();
-        let request = self.tell(|inner, errands| inner.submit(asked, reply, errands))?;
+        let request = self.tell(|state, outputs| state.submit(asked, reply, outputs))?;
         Some((Waiting { dispatcher: self.clone(), request }, answer))
     }
 
     /// Whether an attempt may still be written: a connect can outlast its request, or the server's place on the list.
     pub fn may_write(&self, ticket: Ticket) -> bool {
-        let inner = self.inner.borrow();
-        let now = inner.clock.now();
+        let state = self.state.borrow();
+        let now = state.clock.now();
         let live =
-            inner.requests.get(&ticket.request).is_some_and(|open| !open.ended && now < open.not_after);
+            state.requests.get(&ticket.request).is_some_and(|open| !open.ended && now < open.not_after);
         let known =
-            inner.services.get(&ticket.service).and_then(|service| service.backends.get(&ticket.backend));
+            state.services.get(&ticket.service).and_then(|service| service.backends.get(&ticket.backend));
         live && known.is_some_and(|known| known.stage == Stage::InService)
     }
 
     /// A stream has begun to come. Returns the way to its client; none where that has gone.
     pub fn begun(&self, ticket: Ticket, head: Head, load: Option<Load>) -> Option<Sink> {
-        self.tell(|inner, errands| inner.begun(ticket, head, load, errands))
+        self.tell(|state, outputs| state.begun(ticket, head, load, outputs))
     }
 
     /// Events have been passed on.
     pub fn passed(&self, ticket: Ticket, last: Option<u64>) {
-        let mut inner = self.inner.borrow_mut();
-        if let (Some(open), Some(last)) = (inner.requests.get_mut(&ticket.request), last) {
+        let mut state = self.state.borrow_mut();
+        if let (Some(open), Some(last)) = (state.requests.get_mut(&ticket.request), last) {
             open.last_event = Some(last);
         }
     }
 
     /// Takes the end of an attempt.
     pub fn settled(&self, ticket: Ticket, ending: Ending) {
-        self.tell(|inner, errands| inner.settled(ticket, ending, errands));
+        self.tell(|state, outputs| state.settled(ticket, ending, outputs));
     }
 
     /// Runs the timers; never ends.
     pub async fn run_timers(&self) {
         loop {
-            let next = self.inner.borrow().timers.first().map(|(at, _)| *at);
+            let next = self.state.borrow().timers.first().map(|(at, _)| *at);
             match next {
                 None => self.timer.notified().await,
                 Some(at) => {
@@ -184,20 +184,20 @@
                     }
                 }
             }
-            self.tell(|inner, errands| inner.fire(errands));
+            self.tell(|state, outputs| state.fire(outputs));
         }
     }
 
     /// One call inside; what it leaves to do is done once the borrow has ended.
-    fn tell<T>(&self, call: impl FnOnce(&mut Inner, &mut Errands) -> T) -> T {
-        let mut errands = Errands::default();
-        let result = call(&mut self.inner.borrow_mut(), &mut errands);
-        errands.retired.into_iter().for_each(|(service, backend)| self.upstream.retire(service, backend));
-        errands.launches.into_iter().for_each(|launch| self.upstream.launch(self, launch));
-        for ticket in errands.moot {
+    fn tell<T>(&self, call: impl FnOnce(&mut DispatcherState, &mut Outputs) -> T) -> T {
+        let mut outputs = Outputs::default();
+        let result = call(&mut self.state.borrow_mut(), &mut outputs);
+        outputs.retired.into_iter().for_each(|(service, backend)| self.upstream.retire(service, backend));
+        outputs.launches.into_iter().for_each(|launch| self.upstream.launch(self, launch));
+        for ticket in outputs.not_sent {
             self.settled(ticket, Ending::bare(Outcome::Moot));
         }
-        if errands.rearm {
+        if outputs.rearm {
             self.timer.notify_one();
         }
         result
--- a/system/src/router/dispatch/requests.rs
+++ b/system/src/router/dispatch/requests.rs
@@ -13,27 +13,27 @@
 
 use super::BACKSTOP;
 use super::attempt::{Asked, Launch, Service, Ticket};
-use super::state::{Due, Errands, Flight, Inner, Open};
+use super::state::{DispatcherState, Due, Flight, Open, Outputs};
 use crate::router::answer::Reply;
 
 /// Part of a route's aims after which a silent server is looked at, and the least, in milliseconds.
-const QUIET_PART: f64 = 0.4;
-const LEAST_QUIET_MS: f64 = 100.0;
+const IDLE_TIMEOUT_PART: f64 = 0.4;
+const LEAST_IDLE_TIMEOUT_MS: f64 = 100.0;
 /// Shortest pause that a refused client is asked for.
 const LEAST_PAUSE: Nanos = 60 * MILLISECOND;
 
 /// How long a server may be silent, before its answer and within it, until it is looked whether it is there at all.
-fn quiet(route: &Route) -> (Duration, Duration) {
-    let part = |ms: f64, least: f64| Duration::from_secs_f64((ms * QUIET_PART).max(least) / 1000.0);
-    (part(route.target_ms, LEAST_QUIET_MS), part(route.gap_aim_ms, LEAST_QUIET_MS))
+fn idle_timeouts(route: &Route) -> (Duration, Duration) {
+    let part = |ms: f64, least: f64| Duration::from_secs_f64((ms * IDLE_TIMEOUT_PART).max(least) / 1000.0);
+    (part(route.target_ms, LEAST_IDLE_TIMEOUT_MS), part(route.gap_aim_ms, LEAST_IDLE_TIMEOUT_MS))
 }
 
-impl Inner {
+impl DispatcherState {
     pub(super) fn submit(
         &mut self,
         asked: Asked,
         reply: oneshot::Sender<Reply>,
-        errands: &mut Errands,
+        outputs: &mut Outputs,
     ) -> Option<RequestId> {
         if !self.open_ids.insert(asked.id.clone()) {
             return None;
@@ -71,9 +71,9 @@
         };
         let not_after = open.not_after;
         self.requests.insert(request, open);
-        self.set_timer(not_after + BACKSTOP, Due::Backstop(request), errands);
+        self.set_timer(not_after + BACKSTOP, Due::Backstop(request), outputs);
         let arrival = Arrival { request, class, hint: None, repeat: false, tenant: None, not_after };
-        self.hear(service, Event::Request(arrival), errands);
+        self.handle_event(service, Event::Request(arrival), outputs);
         Some(request)
     }
 
@@ -82,7 +82,7 @@
         service: Service,
         request: RequestId,
         backend: BackendId,
-        errands: &mut Errands,
+        outputs: &mut Outputs,
     ) {
         let now = self.clock.now();
         let (Some(open), Some(balanced)) = (self.requests.get_mut(&request), self.services.get_mut(&service))
@@ -93,10 +93,10 @@
         let (withdraw, withdrawn) = oneshot::channel();
         open.attempts.push(Some(Flight { since: now, began: None, withdraw: Some(withdraw) }));
         let Some(known) = balanced.backends.get(&backend) else {
-            errands.moot.push(ticket);
+            outputs.not_sent.push(ticket);
             return;
         };
-        errands.launches.push(Launch {
+        outputs.launches.push(Launch {
             ticket,
             id: open.id.clone(),
             endpoint: known.endpoint,
@@ -105,7 +105,7 @@
             call: open.call.clone(),
             streams: open.route.route_kind == RouteKind::Streaming,
             movable: open.route.is_repeatable(),
-            quiet: quiet(&open.route),
+            idle_timeouts: idle_timeouts(&open.route),
             last_event: open.last_event,
             give_up: open.not_after,
             not_after: open.not_after,
@@ -148,7 +148,7 @@
         self.forget_if_done(request);
     }
 
-    pub(super) fn client_gone(&mut self, request: RequestId, errands: &mut Errands) {
+    pub(super) fn client_gone(&mut self, request: RequestId, outputs: &mut Outputs) {
         let Some(open) = self.requests.get_mut(&request) else { return };
         if open.ended {
             return;
@@ -159,7 +159,7 @@
             let _ = flight.withdraw.take().map(|withdraw| withdraw.send(()));
         }
         let service = open.service;
-        self.hear(service, Event::ClientGone { request }, errands);
+        self.handle_event(service, Event::ClientGone { request }, outputs);
         self.forget_if_done(request);
     }
 
--- a/system/src/router/dispatch/server_list.rs
+++ b/system/src/router/dispatch/server_list.rs
@@ -10,16 +10,16 @@
 
 use super::COLD_MORE;
 use super::attempt::Service;
-use super::state::{Balanced, Errands, Inner, Known};
+use super::state::{Balanced, DispatcherState, Known, Outputs};
 
-impl Inner {
+impl DispatcherState {
     pub(super) fn servers(
         &mut self,
         servers: Vec<Server>,
         evacuation: impl Fn(&str) -> (bool, u64),
-        errands: &mut Errands,
+        outputs: &mut Outputs,
     ) {
-        let (now, touch) = (self.clock.now(), self.touch);
+        let (now, quorum_reachable) = (self.clock.now(), self.quorum_reachable);
         let mut by_service: BTreeMap<Service, Vec<(Server, u32)>> =
             self.services.keys().map(|service| (*service, Vec::new())).collect();
         for server in servers {
@@ -28,10 +28,10 @@
         }
         for (id, servers) in by_service {
             let Some(service) = self.services.get_mut(&id) else { continue };
-            let (members, retired) = service.list(now, servers, touch, &evacuation);
-            errands.retired.extend(retired.into_iter().map(|backend| (id, backend)));
+            let (members, retired) = service.list(now, servers, quorum_reachable, &evacuation);
+            outputs.retired.extend(retired.into_iter().map(|backend| (id, backend)));
             if !members.is_empty() {
-                self.hear(id, Event::Fleet { scope: ListScope::Changes, members }, errands);
+                self.handle_event(id, Event::Fleet { scope: ListScope::Changes, members }, outputs);
             }
         }
     }
@@ -43,7 +43,7 @@
         &mut self,
         now: Nanos,
         servers: Vec<(Server, u32)>,
-        touch: bool,
+        quorum_reachable: bool,
         evacuation: &impl Fn(&str) -> (bool, u64),
     ) -> (Vec<Member>, Vec<BackendId>) {
         let (mut members, mut retired, mut there) = (Vec::new(), Vec::new(), HashSet::new());
@@ -61,8 +61,8 @@
             let (evacuated, evacuations) = evacuation(&server.zone);
             let leaves = server.draining || server.remaining_ms.is_some();
             // Out of touch nobody knows whether the zone is evacuated still.
-            let last_resort = evacuated && !touch;
-            let leaves = leaves || (evacuated && touch);
+            let last_resort = evacuated && !quorum_reachable;
+            let leaves = leaves || (evacuated && quorum_reachable);
             let stage = if leaves { Stage::Draining } else { Stage::InService };
             let cold_left = Nanos::from(server.cold_left_ms) * MILLISECOND;
             let cold_until = if cold_left > 0 { now + cold_left + COLD_MORE } else { 0 };
--- a/system/src/router/dispatch/services.rs
+++ b/system/src/router/dispatch/services.rs
@@ -13,7 +13,7 @@
 
 use super::COLD_MORE;
 use super::attempt::Service;
-use super::state::{Balanced, Inner};
+use super::state::{Balanced, DispatcherState};
 
 /// Part of its aim for which a request that was never sent is held: a refusal has to come within a quarter.
 const HELD_PART: f64 = 0.2;
@@ -28,7 +28,7 @@
 /// As long as their number is not known.
 const USUAL_ROUTERS_A_REGION: u32 = 4;
 
-impl Inner {
+impl DispatcherState {
     pub(super) fn region(&self, zone: &str) -> u32 {
         let region = self.zones.get(zone).map_or(zone, String::as_str);
         let at = self.regions.iter().position(|known| known == region);
--- a/system/src/router/dispatch/state.rs
+++ b/system/src/router/dispatch/state.rs
@@ -71,7 +71,7 @@
     Backstop(RequestId),
 }
 
-pub(super) struct Inner {
+pub(super) struct DispatcherState {
     pub(super) clock: Clock,
     pub(super) zones: BTreeMap<String, String>,
     pub(super) regions: Vec<String>,
@@ -79,7 +79,7 @@
     pub(super) bounds: Bounds,
     pub(super) table: Table,
     pub(super) ready: bool,
-    pub(super) touch: bool,
+    pub(super) quorum_reachable: bool,
     /// None as long as it is not known.
     pub(super) routers: Option<u32>,
     pub(super) place: u32,
@@ -94,14 +94,14 @@
 
 /// Work that an event has left for the network.
 #[derive(Default)]
-pub(super) struct Errands {
+pub(super) struct Outputs {
     pub(super) launches: Vec<Launch>,
     pub(super) retired: Vec<(Service, BackendId)>,
-    pub(super) moot: Vec<Ticket>,
+    pub(super) not_sent: Vec<Ticket>,
     pub(super) rearm: bool,
 }
 
-impl Inner {
+impl DispatcherState {
     /// One that knows no route and no server yet.
     pub(super) fn new(settings: &Settings, clock: Clock) -> Self {
         let regions: BTreeSet<String> =
@@ -117,7 +117,7 @@
             bounds: settings.bounds,
             table: Table::default(),
             ready: false,
-            touch: true,
+            quorum_reachable: true,
             routers: None,
             place: 0,
             names: HashMap::new(),
--- a/system/src/router/sessions.rs
+++ b/system/src/router/sessions.rs
@@ -75,7 +75,7 @@
                     log::warn!("event=stalled ms={}", late.as_millis());
                 }
                 due = Instant::now() + TICK;
-                ticking.hear(Heard::Tick);
+                ticking.handle_input(Heard::Tick);
             }
         });
         Self(host)
@@ -83,7 +83,7 @@
 
     /// The router is so far.
     pub fn state(&self, state: RouterState) {
-        self.0.hear(Heard::State(state));
+        self.0.handle_input(Heard::State(state));
     }
 
     /// Takes the seeds of a settings file that has changed.
@@ -91,7 +91,7 @@
         match Settings::from_environment() {
             Ok(settings) => {
                 log::info!("event=settings_read_anew seeds={}", settings.seeds.len());
-                self.0.hear(Heard::Seeds(seeds(&settings)));
+                self.0.handle_input(Heard::Seeds(seeds(&settings)));
             }
             Err(error) => log::warn!("event=old_settings_stay error={:?}", error.to_string()),
         }
@@ -99,12 +99,12 @@
 }
 
 impl Host {
-    fn hear(self: &Rc<Self>, heard: Heard) {
-        let mut done = Vec::new();
-        self.follower.borrow_mut().handle(self.clock.now(), heard, &mut done);
+    fn handle_input(self: &Rc<Self>, input: Heard) {
+        let mut outputs = Vec::new();
+        self.follower.borrow_mut().handle(self.clock.now(), input, &mut outputs);
         let mut servers = false;
-        for done in done {
-            match done {
+        for output in outputs {
+            match output {
                 Done::Links(to) => self.dial(&to),
                 Done::Tell(to, message) => {
                     let sent =
@@ -116,8 +116,8 @@
                 // Its receiver lives as long as the process.
                 Done::Configuration(change) => drop(self.changes.send(change)),
                 Done::Servers => servers = true,
-                Done::Touch(touch) => {
-                    self.dispatcher.set_touch(touch);
+                Done::Touch(reachable) => {
+                    self.dispatcher.set_quorum_reachable(reachable);
                     servers = true;
                 }
                 Done::Routers(routers, place) => self.dispatcher.set_routers(routers, place),
@@ -137,7 +137,7 @@
         let ready = follower.is_ready() && self.configured.get();
         drop(follower);
         if ready && self.dispatcher.become_ready() {
-            self.hear(Heard::State(RouterState::Ready));
+            self.handle_input(Heard::State(RouterState::Ready));
         }
     }
 
@@ -179,10 +179,10 @@
                 tries = 0;
                 let (writer, mut queue) = Writer::new();
                 self.writers.borrow_mut().insert(node, writer);
-                self.hear(Heard::Linked(node, self.clock.now() - began));
+                self.handle_input(Heard::Linked(node, self.clock.now() - began));
                 let (mut reading, mut writing) = stream.split();
                 let take = |received: Received<ToFollower>| {
-                    self.hear(match received {
+                    self.handle_input(match received {
                         Received::Message(message) => Heard::Message(node, message),
                         Received::Fragment => Heard::Fragment(node),
                     });
@@ -198,7 +198,7 @@
             } else {
                 tries += 1;
             }
-            self.hear(Heard::Lost(node));
+            self.handle_input(Heard::Lost(node));
             sleep(AGAIN).await;
         }
     }
--- a/system/src/router/upstream/mod.rs
+++ b/system/src/router/upstream/mod.rs
@@ -174,7 +174,7 @@
         message: Request<Full<Bytes>>,
     ) -> Sent {
         let mut sending = std::pin::pin!(sender.try_send_request(message));
-        match self.unless_unreachable(launch, launch.quiet.0, &mut sending).await {
+        match self.unless_unreachable(launch, launch.idle_timeouts.0, &mut sending).await {
             None => Sent::Lost(Outcome::Reset),
             Some(Ok(response)) => Sent::Answered(response),
             Some(Err(mut error)) => match error.take_message() {
@@ -222,13 +222,13 @@
     async fn unless_unreachable<F: Future>(
         &self,
         launch: &Launch,
-        quiet: Duration,
+        idle_timeout: Duration,
         what: &mut Pin<&mut F>,
     ) -> Option<F::Output> {
         if !launch.movable {
             return Some(what.await);
         }
-        let mut patience = quiet;
+        let mut patience = idle_timeout;
         loop {
             match timeout(patience, what.as_mut()).await {
                 Ok(came) => return Some(came),
@@ -252,7 +252,8 @@
         let (mut sink, mut head) = (None, Some(head));
         loop {
             let mut frame = std::pin::pin!(body.frame());
-            let Some(frame) = self.unless_unreachable(launch, launch.quiet.1, &mut frame).await else {
+            let Some(frame) = self.unless_unreachable(launch, launch.idle_timeouts.1, &mut frame).await
+            else {
                 return Exchange::broken(Outcome::Reset);
             };
             let data = match frame {
--- a/system/src/router/upstream/pool.rs
+++ b/system/src/router/upstream/pool.rs
@@ -184,10 +184,10 @@
         })
     }
 
-    fn note_round_trip(&self, region: u32, took: Duration) {
+    fn note_round_trip(&self, region: u32, round_trip: Duration) {
         let mut round_trips = self.round_trips.borrow_mut();
-        let shortest = round_trips.entry(region).or_insert(took);
-        *shortest = took.min(*shortest);
+        let shortest = round_trips.entry(region).or_insert(round_trip);
+        *shortest = round_trip.min(*shortest);
     }
 
     /// Whether the server of an attempt takes no connection. Attempts that ask at the same time share one probe.
