--- a/system/src/router/sessions.rs
+++ b/system/src/router/sessions.rs
@@ -81,7 +81,7 @@
                     log::warn!("event=stalled ms={}", late.as_millis());
                 }
                 due = Instant::now() + TICK;
-                ticking.hear(Heard::Tick);
+                ticking.handle_input(Heard::Tick);
                 ticking.reread_without_contact();
             }
         });
@@ -90,7 +90,7 @@
 
     /// The router is so far.
     pub fn state(&self, state: RouterState) {
-        self.0.hear(Heard::State(state));
+        self.0.handle_input(Heard::State(state));
     }
 
     /// Takes the seeds of a settings file that has changed.
@@ -98,7 +98,7 @@
         match Settings::from_environment() {
             Ok(settings) => {
                 log::info!("event=settings_read_anew seeds={}", settings.seeds.len());
-                self.0.hear(Heard::Seeds(seeds(&settings)));
+                self.0.handle_input(Heard::Seeds(seeds(&settings)));
             }
             Err(error) => log::warn!("event=old_settings_stay error={:?}", error.to_string()),
         }
@@ -114,16 +114,16 @@
         }
         self.reread_at.set(now);
         if let Ok(settings) = Settings::from_environment() {
-            self.hear(Heard::Seeds(seeds(&settings)));
+            self.handle_input(Heard::Seeds(seeds(&settings)));
         }
     }
 
-    fn hear(self: &Rc<Self>, heard: Heard) {
-        let mut done = Vec::new();
-        self.follower.borrow_mut().handle(self.clock.now(), heard, &mut done);
+    fn handle_input(self: &Rc<Self>, input: Heard) {
+        let mut outputs = Vec::new();
+        self.follower.borrow_mut().handle(self.clock.now(), input, &mut outputs);
         let mut servers = false;
-        for done in done {
-            match done {
+        for output in outputs {
+            match output {
                 Done::Links(to) => self.dial(&to),
                 Done::Tell(to, message) => {
                     let sent =
@@ -135,8 +135,8 @@
                 // Its receiver lives as long as the process.
                 Done::Configuration(change) => drop(self.changes.send(change)),
                 Done::Servers => servers = true,
-                Done::Touch(touch) => {
-                    self.dispatcher.set_touch(touch);
+                Done::Touch(reachable) => {
+                    self.dispatcher.set_quorum_reachable(reachable);
                     servers = true;
                 }
                 Done::Routers(routers, place) => self.dispatcher.set_routers(routers, place),
@@ -156,7 +156,7 @@
         let ready = follower.is_ready() && self.configured.get();
         drop(follower);
         if ready && self.dispatcher.become_ready() {
-            self.hear(Heard::State(RouterState::Ready));
+            self.handle_input(Heard::State(RouterState::Ready));
         }
     }
 
@@ -198,10 +198,10 @@
                 tries = 0;
                 let (writer, mut queue) = Writer::new();
                 self.writers.borrow_mut().insert(node, writer);
-                self.hear(Heard::Linked(node, self.clock.now() - began));
+                self.handle_input(Heard::Linked(node, self.clock.now() - began));
                 let (mut reading, mut writing) = stream.split();
                 let take = |received: Received<ToFollower>| {
-                    self.hear(match received {
+                    self.handle_input(match received {
                         Received::Message(message) => Heard::Message(node, message),
                         Received::Fragment => Heard::Fragment(node),
                     });
@@ -217,7 +217,7 @@
             } else {
                 tries += 1;
             }
-            self.hear(Heard::Lost(node));
+            self.handle_input(Heard::Lost(node));
             sleep(AGAIN).await;
         }
     }
