--- a/world/src/run.rs
+++ b/world/src/run.rs
@@ -1,8 +1,11 @@
 //! Plays a plan: one queue of happenings in virtual time, the real state machines behind it, the judge beside it.
 
+mod alterations;
+mod describe;
 mod followers;
 mod links;
 mod machines;
+mod observation;
 mod operators;
 mod troubles;
 
--- a/world/src/run/followers.rs
+++ b/world/src/run/followers.rs
@@ -8,6 +8,7 @@
 use ivyhatch_protocol::{MILLISECOND, Nanos};
 use ivyhatch_routing::follow::{Done, Follower, Heard};
 
+use super::describe::follower_message;
 use super::{CONTACT, Happening, Said, TICK, World, address, place};
 use crate::demand::{digest, zone};
 use crate::oracle::FollowerView;
@@ -224,7 +225,7 @@
         let session = this.sessions.get_mut(&machine).filter(|session| session.id == id);
         let Some(session) = session.filter(|_| this.life == life) else { return };
         session.heard = self.now;
-        self.note(|| format!("{machine} -> follower {follower} {}", short(&message)));
+        self.note(|| format!("{machine} -> follower {follower} {}", follower_message(&message)));
         let message = match (self.planted, message, &self.routers[follower].follower) {
             (Some(Planted::AppliesOverGap), ToFollower::Change { to, change, .. }, Some(known)) => {
                 ToFollower::Change { from: known.sequence(), to, change }
@@ -285,17 +286,3 @@
         self.oracle.in_force(sequence, follows.document().revision, digest);
     }
 }
-
-fn short(message: &ToFollower) -> String {
-    match message {
-        ToFollower::Heads { position, in_touch, .. } => {
-            format!("heads {} in touch: {in_touch}", position.configuration)
-        }
-        ToFollower::Whole { sequence, .. } => format!("whole {sequence}"),
-        ToFollower::Change { from, to, .. } => format!("change {from} to {to}"),
-        ToFollower::Evacuations(part) => {
-            format!("evacuations part {} {} {:?}", part.part.0, part.sequence, part.zones)
-        }
-        ToFollower::Servers(news) => format!("servers {} {}", news.epoch, news.to),
-    }
-}
--- a/world/src/run/machines.rs
+++ b/world/src/run/machines.rs
@@ -6,14 +6,14 @@
 use ivyhatch_control::state::State;
 use ivyhatch_control::{ControlPlane, Identity, Input, Output};
 use ivyhatch_protocol::feed::Server;
-use ivyhatch_protocol::ids::{Epoch, NodeId, Part, ReplicaId, hash, mix};
-use ivyhatch_protocol::peer::{ConsensusMessage, Heartbeat, Membership, Peer};
+use ivyhatch_protocol::ids::{Epoch, NodeId, Part, ReplicaId};
+use ivyhatch_protocol::peer::{ConsensusMessage, Membership, Peer};
 use ivyhatch_protocol::{MILLISECOND, Nanos, SECOND};
-use speedy::Writable;
 
+use super::describe::peer_message;
 use super::{Happening, Said, TICK, World, address, place};
 use crate::chance::draw;
-use crate::demand::{digest, zone};
+use crate::demand::zone;
 use crate::disk::Disk;
 use crate::oracle::Rule;
 use crate::planted::Planted;
@@ -53,12 +53,12 @@
     /// It has been replaced, and does not come back.
     pub(super) is_gone: bool,
     /// The newest membership that it had when the judge looked last.
-    generation: u64,
+    pub(super) generation: u64,
     /// What it was before it lost its disk, for the fault that it goes on as that.
     before_wipe: Option<(ReplicaId, Option<Membership>, Option<u64>)>,
-    seen: [u64; PARTS],
-    list: (Epoch, u64),
-    lower: Option<(Epoch, u64)>,
+    pub(super) seen: [u64; PARTS],
+    pub(super) list: (Epoch, u64),
+    pub(super) lower: Option<(Epoch, u64)>,
 }
 
 impl Machine {
@@ -310,7 +310,7 @@
     }
 
     fn heard_by(&mut self, machine: usize, from: usize, message: &Peer) {
-        self.note(|| format!("{from} -> {machine} {}", short(message)));
+        self.note(|| format!("{from} -> {machine} {}", peer_message(message)));
         let seed = self.plan.seed;
         let members = self.plan.members;
         let this = &mut self.machines[machine];
@@ -460,7 +460,7 @@
                 }
         );
         if votes && self.machines[machine].wiped.is_some() {
-            let text = format!("node {machine} has lost its disk, and says {}", short(&message));
+            let text = format!("node {machine} has lost its disk, and says {}", peer_message(&message));
             self.oracle.broken(Rule::WipedIsSilent, text);
         }
         self.judge_vote(machine, &message);
@@ -470,166 +470,4 @@
             self.send(machine, to, life, Said::Peer(message));
         }
     }
-
-    /// Shows the judge a vote: who gives it, and under which membership.
-    fn judge_vote(&mut self, machine: usize, message: &Peer) {
-        let Peer::Consensus { generation, message: vote, .. } = message else { return };
-        let votes = matches!(
-            vote,
-            ConsensusMessage::Promise { .. }
-                | ConsensusMessage::Accepted { .. }
-                | ConsensusMessage::Confirmed { .. }
-        );
-        let replica = self.machines[machine].node.as_ref().and_then(ControlPlane::replica);
-        if let Some(replica) = replica.filter(|_| votes) {
-            self.oracle.vote(*generation, replica);
-        }
-    }
-
-    /// A message as it is sent with a known fault put in; none where it is not sent.
-    fn altered(
-        &mut self,
-        machine: usize,
-        to: NodeId,
-        message: Peer,
-        events: &mut Vec<Input>,
-    ) -> Option<Peer> {
-        let Some(planted) = self.planted else { return Some(message) };
-        match (planted, message) {
-            (
-                Planted::SkipsConfirmation,
-                Peer::Consensus { generation, part, message: ConsensusMessage::Confirm { epoch, number } },
-            ) => {
-                let message = ConsensusMessage::Confirmed { epoch, number };
-                events.push(Input::Peer(to, Peer::Consensus { generation, part, message }));
-                None
-            }
-            (
-                Planted::AcceptsLowerEpoch,
-                Peer::Consensus { generation, part, message: ConsensusMessage::Reject { promised } },
-            ) => {
-                let lower = self.machines[machine].lower.take().filter(|(epoch, _)| epoch.node == to);
-                let message = lower.map_or(ConsensusMessage::Reject { promised }, |(epoch, sequence)| {
-                    ConsensusMessage::Accepted { epoch, sequence }
-                });
-                Some(Peer::Consensus { generation, part, message })
-            }
-            (
-                Planted::LeadsWithoutElection,
-                Peer::Consensus { generation, part, message: ConsensusMessage::Prepare { epoch } },
-            ) if part != Part::MEMBERSHIP => {
-                let message = ConsensusMessage::Promise { epoch, accepted: None };
-                events.push(Input::Peer(to, Peer::Consensus { generation, part, message }));
-                None
-            }
-            (
-                Planted::ChangesMembershipAlone,
-                Peer::Consensus { generation, part: part @ Part::MEMBERSHIP, message },
-            ) => {
-                let message = match message {
-                    ConsensusMessage::Prepare { epoch } => {
-                        ConsensusMessage::Promise { epoch, accepted: None }
-                    }
-                    ConsensusMessage::Accept(value) => {
-                        ConsensusMessage::Accepted { epoch: value.epoch, sequence: value.sequence }
-                    }
-                    message => return Some(Peer::Consensus { generation, part, message }),
-                };
-                events.push(Input::Peer(to, Peer::Consensus { generation, part, message }));
-                None
-            }
-            (Planted::CountsBeforeState, Peer::StateTransferRequest { incarnation, generation }) => {
-                let node = self.machines[place(to)].node.as_ref();
-                let disk = node.and_then(ControlPlane::replica)?.disk;
-                let partitions = Vec::new();
-                let empty = Peer::StateTransfer { incarnation, generation, disk, partitions };
-                events.push(Input::Peer(to, empty));
-                None
-            }
-            (Planted::OldGenerationCounts, Peer::Consensus { part, message, generation }) => {
-                let receiver = self.machines.get(place(to)).and_then(|machine| machine.node.as_ref());
-                let newer = receiver.and_then(ControlPlane::membership).map(|known| known.generation);
-                let generation = newer.unwrap_or(generation);
-                Some(Peer::Consensus { generation, part, message })
-            }
-            (_, message) => Some(message),
-        }
-    }
-
-    /// Shows the judge what a node has in force.
-    pub(super) fn see(&mut self, machine: usize) {
-        let this = &mut self.machines[machine];
-        let Some(node) = &this.node else { return };
-        let who = (address(machine).0, this.life);
-        if let Some(membership) = node.membership().filter(|known| known.generation != this.generation) {
-            this.generation = membership.generation;
-            self.oracle.membership(membership);
-        }
-        for part in Part::all() {
-            let (sequence, state) = node.committed_state(part);
-            let seen = &mut this.seen[usize::from(part.0)];
-            if sequence == *seen {
-                continue;
-            }
-            *seen = sequence;
-            match state {
-                Some(State::Configured(configured)) => {
-                    let document = &configured.document;
-                    let digest = digest(document);
-                    self.oracle.seen(who, part, sequence, digest);
-                    self.oracle.in_force(sequence, document.revision, digest);
-                }
-                Some(State::Evacuated(evacuated)) => {
-                    let bytes = evacuated.write_to_vec().unwrap_or_default();
-                    self.oracle.seen(who, part, sequence, hash(&bytes));
-                }
-                None => {}
-            }
-        }
-        let position = node.list().position();
-        if position != this.list {
-            this.list = position;
-            let (epoch, number) = position;
-            if epoch != Epoch::default() {
-                let told = node.list().servers(self.now);
-                let digest =
-                    told.fold(0, |sum, one| mix(sum ^ hash(one.id.as_bytes()) ^ u64::from(one.draining)));
-                let reader = mix(epoch.life ^ mix(u64::from(epoch.node.0)));
-                self.oracle.list((epoch.counter, reader, number), digest);
-            }
-        }
-    }
-}
-
-fn short(message: &Peer) -> String {
-    match message {
-        Peer::Heartbeat(heartbeat) => {
-            let Heartbeat { number, status, generation, has_quorum, .. } = heartbeat;
-            format!("heartbeat {number} {status:?} generation {generation} quorum: {has_quorum}")
-        }
-        Peer::Consensus { generation, part, message } => {
-            let message = match message {
-                ConsensusMessage::Accept(value) => format!("accept {} {}", value.epoch, value.sequence),
-                ConsensusMessage::Promise { epoch, accepted } => {
-                    let had = accepted.as_ref().map(|had| format!("{} {}", had.epoch, had.sequence));
-                    format!("promise {epoch} had {had:?}")
-                }
-                ConsensusMessage::Committed(value) => format!("committed {} {}", value.epoch, value.sequence),
-                other => format!("{other:?}"),
-            };
-            format!("generation {generation} part {} {message}", part.0)
-        }
-        Peer::Membership(membership) => {
-            let voters: Vec<String> =
-                membership.voters.iter().map(|voter| voter.replica.to_string()).collect();
-            format!("membership {} {voters:?}", membership.generation)
-        }
-        Peer::StateTransferRequest { generation, .. } => format!("state request {generation}"),
-        Peer::StateTransfer { generation, .. } => format!("state of generation {generation}"),
-        Peer::Forward { number, request, .. } => format!("forward {number} part {}", request.part().0),
-        Peer::Forwarded { number, response } => format!("forwarded {number} {response:?}"),
-        Peer::Sessions(_) => "sessions".to_owned(),
-        Peer::Servers(news) => format!("servers {} {}", news.epoch, news.to),
-        Peer::WantServers => "want servers".to_owned(),
-    }
 }
--- /dev/null
+++ b/world/src/run/observation.rs
@@ -0,0 +1,71 @@
+//! What the judge is shown of a control node: what it has in force, and whom it votes for.
+
+use ivyhatch_control::ControlPlane;
+use ivyhatch_control::state::State;
+use ivyhatch_protocol::ids::{Epoch, Part, hash, mix};
+use ivyhatch_protocol::peer::{ConsensusMessage, Peer};
+use speedy::Writable;
+
+use super::{World, address};
+use crate::demand::digest;
+
+impl World<'_> {
+    /// Shows the judge a vote: who gives it, and under which membership.
+    pub(super) fn judge_vote(&mut self, machine: usize, message: &Peer) {
+        let Peer::Consensus { generation, message: vote, .. } = message else { return };
+        let votes = matches!(
+            vote,
+            ConsensusMessage::Promise { .. }
+                | ConsensusMessage::Accepted { .. }
+                | ConsensusMessage::Confirmed { .. }
+        );
+        let replica = self.machines[machine].node.as_ref().and_then(ControlPlane::replica);
+        if let Some(replica) = replica.filter(|_| votes) {
+            self.oracle.vote(*generation, replica);
+        }
+    }
+
+    /// Shows the judge what a node has in force.
+    pub(super) fn see(&mut self, machine: usize) {
+        let this = &mut self.machines[machine];
+        let Some(node) = &this.node else { return };
+        let who = (address(machine).0, this.life);
+        if let Some(membership) = node.membership().filter(|known| known.generation != this.generation) {
+            this.generation = membership.generation;
+            self.oracle.membership(membership);
+        }
+        for part in Part::all() {
+            let (sequence, state) = node.committed_state(part);
+            let seen = &mut this.seen[usize::from(part.0)];
+            if sequence == *seen {
+                continue;
+            }
+            *seen = sequence;
+            match state {
+                Some(State::Configured(configured)) => {
+                    let document = &configured.document;
+                    let digest = digest(document);
+                    self.oracle.seen(who, part, sequence, digest);
+                    self.oracle.in_force(sequence, document.revision, digest);
+                }
+                Some(State::Evacuated(evacuated)) => {
+                    let bytes = evacuated.write_to_vec().unwrap_or_default();
+                    self.oracle.seen(who, part, sequence, hash(&bytes));
+                }
+                None => {}
+            }
+        }
+        let position = node.list().position();
+        if position != this.list {
+            this.list = position;
+            let (epoch, number) = position;
+            if epoch != Epoch::default() {
+                let told = node.list().servers(self.now);
+                let digest =
+                    told.fold(0, |sum, one| mix(sum ^ hash(one.id.as_bytes()) ^ u64::from(one.draining)));
+                let reader = mix(epoch.life ^ mix(u64::from(epoch.node.0)));
+                self.oracle.list((epoch.counter, reader, number), digest);
+            }
+        }
+    }
+}
