The simulation draws routers that restart inside cuts, full disks and bursts of changes

None of the three was modelled. A router is now killed and started while it is cut off from some or all control nodes, or reaches only ones that are cut off from the others themselves; a full disk refuses each write, which is tried again every 200 ms; one world in forty has an operator that sends 100 to 200 changes as fast as they are answered, with a restart, a lost disk or a replacement near their end. The three ways to hold up a disk share their beginning and end.

Tests: 400 such worlds, a burst without faults takes a hundred changes, nothing is taken while all disks are full.

--- a/world/src/hunt.rs
+++ b/world/src/hunt.rs
@@ -76,9 +76,14 @@
     }
 }
 
+/// The worlds of odd seeds above this have further troubles ([`Plan::drawn_with_more`]).
+pub const PLAIN_SEEDS: u64 = 1_000_000;
+
 /// The worlds of a seed, one after the other.
 pub fn plans(seed: u64) -> impl Iterator<Item = Plan> {
-    (0..).map(move |number: u64| Plan::drawn(seed.wrapping_mul(1_000_003).wrapping_add(number)))
+    let with_more = seed > PLAIN_SEEDS && seed % 2 == 1;
+    let draw = if with_more { Plan::drawn_with_more } else { Plan::drawn };
+    (0..).map(move |number: u64| draw(seed.wrapping_mul(1_000_003).wrapping_add(number)))
 }
 
 /// Plays a plan, and makes it short if it breaks a rule.
@@ -147,6 +152,7 @@
                 Trouble::Power(mask) => Trouble::Power(without(mask)),
                 Trouble::Freeze(mask) => Trouble::Freeze(without(mask)),
                 Trouble::Stall(mask) => Trouble::Stall(without(mask)),
+                Trouble::Full(mask) => Trouble::Full(without(mask)),
                 Trouble::Wipe(lost, others) => Trouble::Wipe(lost, without(others)),
                 what => what,
             };
--- a/world/src/plan.rs
+++ b/world/src/plan.rs
@@ -1,6 +1,8 @@
 //! What happens in a world: how large it is, what the operators do, and what goes wrong when. Can be written to a file and read
 //! again, and made shorter bit by bit.
 
+mod extended;
+
 use serde::{Deserialize, Serialize};
 
 use crate::chance::Chance;
@@ -103,6 +105,8 @@
     Slow(u64, u64),
     /// No write to these disks ends.
     Stall(u64),
+    /// These disks are full: each write is refused, and tried again.
+    Full(u64),
     /// Of a hundred messages so many are lost, doubled, and held up beyond later ones.
     Unruly(u64, u64, u64),
     /// The machine in this place goes for good, and another one with an empty disk and another address takes its place.
--- a/world/src/run/machines.rs
+++ b/world/src/run/machines.rs
@@ -21,6 +21,8 @@
 const PARTS: usize = ivyhatch_protocol::ids::HASHED_PARTS as usize + 1;
 /// A sync takes so long at the least and at the most.
 const SYNC: (Nanos, Nanos) = (2 * MILLISECOND, 6 * MILLISECOND);
+/// A write that a disk has refused is tried again after this.
+const WRITE_AGAIN: Nanos = 200 * MILLISECOND;
 /// A process that is told to end waits no longer than this for its successor.
 const GRACE: Nanos = 6_500 * MILLISECOND;
 
@@ -44,6 +46,8 @@
     /// Milliseconds that a write takes, where that is more than usual.
     pub(super) slow: Vec<u64>,
     pub(super) stalled: u32,
+    /// Troubles under which its disk refuses writes.
+    pub(super) full: u32,
     wants: Vec<NodeId>,
     pub(super) linked: BTreeSet<usize>,
     /// Who has handed its state to one that has lost its disk, or is new, until they are enough.
@@ -190,7 +194,8 @@
         this.node = None;
         this.held.clear();
         this.frozen_until = 0;
-        this.disk.cut_short(present);
+        // A full disk has nothing of the block.
+        this.disk.cut_short(present && this.full == 0);
         for other in 0..self.machines.len() {
             self.machines[other].linked.remove(&machine);
         }
@@ -347,6 +352,10 @@
             self.after(20 * MILLISECOND, Happening::Synced(machine, life));
             return;
         }
+        if this.full > 0 {
+            self.after(WRITE_AGAIN, Happening::Synced(machine, life));
+            return;
+        }
         let tokens = this.disk.end();
         for token in tokens {
             if self.planted != Some(Planted::AcknowledgesBeforeSync) {
--- a/world/src/run/troubles.rs
+++ b/world/src/run/troubles.rs
@@ -2,6 +2,7 @@
 
 use ivyhatch_protocol::{MILLISECOND, Nanos, SECOND};
 
+use super::machines::Machine;
 use super::{Happening, World};
 use crate::plan::{Replacement, Trouble};
 
@@ -70,18 +71,9 @@
                 self.follower_stop(follower);
                 self.after(for_ms * MILLISECOND, Happening::FollowerStart(follower));
             }
-            Trouble::Slow(mask, ms) => {
-                let machines = self.machines_of(mask);
-                machines.iter().for_each(|machine| self.machines[*machine].slow.push(ms));
-                self.held_disks.insert(number, machines);
-                self.slowed += 1;
-            }
-            Trouble::Stall(mask) => {
-                let machines = self.machines_of(mask);
-                machines.iter().for_each(|machine| self.machines[*machine].stalled += 1);
-                self.held_disks.insert(number, machines);
-                self.slowed += 1;
-            }
+            Trouble::Slow(mask, ms) => self.hold_disks(number, mask, |machine| machine.slow.push(ms)),
+            Trouble::Stall(mask) => self.hold_disks(number, mask, |machine| machine.stalled += 1),
+            Trouble::Full(mask) => self.hold_disks(number, mask, |machine| machine.full += 1),
             Trouble::Unruly(lost, doubled, held_up) => {
                 self.links.unruly = (lost, doubled, held_up);
                 self.slowed += 1;
@@ -92,6 +84,21 @@
         self.after(for_ms * MILLISECOND, Happening::Ends(number));
     }
 
+    /// Disks are in trouble, until the fault ends.
+    fn hold_disks(&mut self, number: usize, mask: u64, begin: impl Fn(&mut Machine)) {
+        let machines = self.machines_of(mask);
+        machines.iter().for_each(|machine| begin(&mut self.machines[*machine]));
+        self.held_disks.insert(number, machines);
+        self.slowed += 1;
+    }
+
+    fn release_disks(&mut self, number: usize, end: impl Fn(&mut Machine)) {
+        for machine in self.held_disks.remove(&number).unwrap_or_default() {
+            end(&mut self.machines[machine]);
+        }
+        self.slowed -= 1;
+    }
+
     fn lose_disks(&mut self, lost: u64, others: u64, for_ms: u64) {
         let lost = self.machines_of(lost);
         for machine in lost.iter().copied().chain(self.machines_of(others)) {
@@ -155,21 +162,16 @@
         }
         self.note(|| format!("fault {number} ends"));
         match what {
-            Trouble::Slow(_, ms) => {
-                for machine in self.held_disks.remove(&number).unwrap_or_default() {
-                    let slow = &mut self.machines[machine].slow;
-                    if let Some(place) = slow.iter().position(|one| *one == ms) {
-                        slow.remove(place);
-                    }
+            Trouble::Slow(_, ms) => self.release_disks(number, |machine| {
+                if let Some(place) = machine.slow.iter().position(|one| *one == ms) {
+                    machine.slow.remove(place);
                 }
-                self.slowed -= 1;
-            }
+            }),
             Trouble::Stall(_) => {
-                for machine in self.held_disks.remove(&number).unwrap_or_default() {
-                    let stalled = &mut self.machines[machine].stalled;
-                    *stalled = stalled.saturating_sub(1);
-                }
-                self.slowed -= 1;
+                self.release_disks(number, |machine| machine.stalled = machine.stalled.saturating_sub(1));
+            }
+            Trouble::Full(_) => {
+                self.release_disks(number, |machine| machine.full = machine.full.saturating_sub(1));
             }
             Trouble::Unruly(..) => {
                 self.links.unruly = (0, 0, 0);
--- a/world/tests/hunt.rs
+++ b/world/tests/hunt.rs
@@ -2,6 +2,7 @@
 
 use googletest::prelude::*;
 use ivyhatch_world::hunt::{Found, broken, find, mutations, plans};
+use ivyhatch_world::plan::{Fault, Trouble, When};
 use ivyhatch_world::run::play_traced;
 use ivyhatch_world::{Plan, Planted, Rule, play};
 
@@ -28,6 +29,46 @@
     }
 }
 
+#[gtest]
+fn worlds_with_more_troubles_break_no_rule() {
+    for plan in plans(1_000_001).take(400) {
+        let outcome = play(&plan);
+        assert_that!(outcome.violation, none(), "seed {}", plan.seed);
+    }
+}
+
+#[gtest]
+fn a_burst_takes_a_hundred_changes() {
+    let is_burst = |plan: &Plan| plan.orders.iter().filter(|order| order.operator == 0).count() >= 100;
+    for plan in plans(1_000_001).filter(is_burst).take(3) {
+        let outcome = play(&plan.without_faults());
+        expect_that!(outcome.violation, none());
+        expect_that!(outcome.taken, ge(100));
+    }
+}
+
+/// A quiet world of three voters.
+fn quiet_world() -> Plan {
+    plans(5).map(Plan::without_faults).find(|plan| plan.members == 3).expect("most are")
+}
+
+#[gtest]
+fn nothing_is_taken_while_all_disks_are_full() {
+    let quiet = quiet_world();
+    let full = Fault { when: When::At(6_000), what: Trouble::Full(0b111), for_ms: 3_000 };
+    let plan = Plan { faults: vec![full], faults_end_ms: 9_500, ..quiet };
+    let outcome = play_traced(&plan, None);
+    expect_that!(outcome.violation, none());
+    let taken_at = |line: &String| {
+        let at_ms: f64 = line.split_whitespace().next()?.parse().ok()?;
+        (line.contains(" answers ") && line.contains("Taken")).then_some(at_ms)
+    };
+    let taken: Vec<f64> = outcome.trace.iter().filter_map(taken_at).collect();
+    // The first writes that are refused were under way, and the first ones after it are tried again every 200 ms.
+    expect_that!(taken.iter().filter(|at_ms| (6_050.0..9_000.0).contains(*at_ms)).count(), eq(0));
+    expect_that!(taken.iter().filter(|at_ms| **at_ms > 9_000.0).count(), gt(0));
+}
+
 #[gtest]
 fn quiet_worlds_take_orders() {
     for plan in plans(2).take(20).map(Plan::without_faults) {
