The simulation loses answers to operators; an order that was taken is not refused when it is sent again

An order was sent again only after a silence, a refusal of the connection or a 503, and the judge knew nothing of an answer that its operator did not hear. The judge notes what such an answer said: an order that was taken counts as a winner and has to stay, and refusing it when it is sent again breaks the new rule taken_stays_taken. Before, refused_stays_out saw that only where some node had the version in force.

Planted: a resent order is not known again.

--- a/world/src/hunt.rs
+++ b/world/src/hunt.rs
@@ -169,6 +169,9 @@
     if plan.mutation.is_some() {
         all.push(Plan { mutation: None, ..plan.clone() });
     }
+    if plan.lost_answers > 0 {
+        all.push(Plan { lost_answers: 0, ..plan.clone() });
+    }
     if plan.followers > 1 {
         let aside = |what: Trouble| matches!(what, Trouble::Aside(..) | Trouble::Follower(_));
         if !plan.faults.iter().any(|fault| aside(fault.what)) {
--- a/world/src/oracle.rs
+++ b/world/src/oracle.rs
@@ -33,6 +33,8 @@
     NothingLost,
     /// What was refused is never in force.
     RefusedStaysOut,
+    /// An order that was taken is not refused when it is sent again.
+    TakenStaysTaken,
     /// What is invalid is neither acknowledged nor in force.
     InvalidStaysOut,
     /// What is in force is what was sent under its number, on top of the version that it names.
@@ -76,10 +78,19 @@
     /// The highest version that was acknowledged before it began.
     newest_before: u64,
     taken: Option<Nanos>,
+    /// It was taken, and its operator did not hear of it.
+    taken_unheard: bool,
     refused: bool,
     open: bool,
 }
 
+impl Undertaken {
+    /// Whether it was answered as taken, heard or not.
+    fn is_taken(&self) -> bool {
+        self.taken.is_some() || self.taken_unheard
+    }
+}
+
 /// What a follower has in force.
 #[derive(Debug)]
 pub struct FollowerView {
@@ -157,6 +168,7 @@
             began: self.now,
             newest_before: self.newest.map_or(0, |(revision, _)| revision),
             taken: None,
+            taken_unheard: false,
             refused: false,
             open: true,
         };
@@ -182,6 +194,12 @@
             }
             (Kind::Set { revision, .. }, AdminResponse::Conflict { .. } | AdminResponse::Invalid(_)) => {
                 undertaken.refused = true;
+                if undertaken.taken_unheard {
+                    self.broken(
+                        Rule::TakenStaysTaken,
+                        format!("version {revision} was taken, and refused when it was sent again"),
+                    );
+                }
                 if self.versions.values().any(|version| *version == revision) {
                     self.broken(
                         Rule::RefusedStaysOut,
@@ -200,7 +218,27 @@
         true
     }
 
+    /// An operator is answered, and does not hear it: it will send again, and has to be answered in time from now on.
+    pub fn answer_lost(&mut self, number: usize, answer: &AdminResponse) {
+        let Some(undertaken) = self.undertaken.get_mut(&number) else { return };
+        undertaken.began = self.now;
+        if let (Kind::Set { base, revision, valid, .. }, AdminResponse::Taken { .. }) =
+            (&undertaken.kind, answer)
+        {
+            let (base, revision, valid) = (*base, *revision, *valid);
+            undertaken.taken_unheard = true;
+            self.judge_taken(number, base, revision, valid);
+        }
+    }
+
     fn acknowledged(&mut self, number: usize, base: u64, revision: u64, valid: bool) {
+        self.judge_taken(number, base, revision, valid);
+        if self.newest.is_none_or(|(newest, _)| newest < revision) {
+            self.newest = Some((revision, self.now));
+        }
+    }
+
+    fn judge_taken(&mut self, number: usize, base: u64, revision: u64, valid: bool) {
         if !valid {
             self.broken(
                 Rule::InvalidStaysOut,
@@ -209,14 +247,11 @@
         }
         let also = |(other, one): (&usize, &Undertaken)| {
             let same = matches!(one.kind, Kind::Set { base: of, .. } if of == base);
-            *other != number && one.taken.is_some() && same
+            *other != number && one.is_taken() && same
         };
         if self.undertaken.iter().any(also) {
             self.broken(Rule::OneWinner, format!("two changes on top of version {base} were acknowledged"));
         }
-        if self.newest.is_none_or(|(newest, _)| newest < revision) {
-            self.newest = Some((revision, self.now));
-        }
     }
 
     fn read(&mut self, revision: u64, least: u64) {
@@ -344,7 +379,7 @@
         }
         let kept: BTreeSet<u64> = self.versions.values().copied().collect();
         let gone = self.undertaken.values().find_map(|one| match one.kind {
-            Kind::Set { revision, .. } if one.taken.is_some() && !kept.contains(&revision) => Some(revision),
+            Kind::Set { revision, .. } if one.is_taken() && !kept.contains(&revision) => Some(revision),
             _ => None,
         });
         if let Some(gone) = gone {
--- a/world/src/plan.rs
+++ b/world/src/plan.rs
@@ -32,6 +32,9 @@
     /// What is done to one message.
     #[serde(default)]
     pub mutation: Option<Mutation>,
+    /// Of a hundred answers to operators so many are lost while things go wrong.
+    #[serde(default)]
+    pub lost_answers: u64,
 }
 
 /// An operator's undertaking: sent again until it is answered.
@@ -175,6 +178,7 @@
             orders: orders(&mut chance, faults_end_ms),
             faults: Vec::new(),
             mutation: None,
+            lost_answers: 0,
         };
         if members == 1 {
             plan.faults = plan.handed_over(&mut chance);
--- a/world/src/plan/extended.rs
+++ b/world/src/plan/extended.rs
@@ -1,4 +1,5 @@
-//! Worlds with further troubles: routers that restart while they are cut off, full disks, and long bursts of changes. They are drawn apart, so that a seed of the other worlds goes on drawing what it always drew.
+//! Worlds with further troubles: routers that restart while they are cut off, full disks, long bursts of changes, and answers
+//! that operators never hear. They are drawn apart, so that a seed of the other worlds goes on drawing what it always drew.
 
 use super::{CALM_MS, Fault, Ordered, Plan, Trouble, Undertaking, When, subset};
 use crate::chance::Chance;
@@ -28,6 +29,9 @@
         if plan.members > 1 && chance.percent(40) {
             plan.add_full_disks(&mut chance);
         }
+        if chance.percent(40) {
+            plan.lost_answers = chance.between(5, 40);
+        }
         plan
     }
 
--- a/world/src/planted.rs
+++ b/world/src/planted.rs
@@ -29,4 +29,6 @@
     ChangesMembershipAlone,
     /// A node takes it for granted that all promise its epoch, and have accepted nothing.
     LeadsWithoutElection,
+    /// An order that is sent again is not known again.
+    TakesResentForNew,
 }
--- a/world/src/run/machines.rs
+++ b/world/src/run/machines.rs
@@ -442,6 +442,9 @@
             }
             Output::Respond(id, answer) => {
                 self.note(|| format!("node {machine} answers {id}: {answer:?}"));
+                if self.loses_answer() {
+                    return self.answer_lost(id, &answer);
+                }
                 let after = (3 + self.below(10)) * MILLISECOND;
                 self.after(after, Happening::Answer(id, answer));
             }
--- a/world/src/run/operators.rs
+++ b/world/src/run/operators.rs
@@ -132,6 +132,11 @@
             return;
         }
         let mut order = order;
+        if self.planted == Some(Planted::TakesResentForNew)
+            && let AdminRequest::Put { body, .. } = &mut order
+        {
+            body.extend(std::iter::repeat_n(b' ', id as usize % 16));
+        }
         if self.planted == Some(Planted::IgnoresBase)
             && let AdminRequest::Put { base, .. } = &mut order
         {
@@ -165,6 +170,20 @@
         self.after(PAUSE, Happening::Goes(operator));
     }
 
+    /// Whether the next answer to an operator is lost.
+    pub(super) fn loses_answer(&mut self) -> bool {
+        let troubled = self.now / MILLISECOND < self.plan.faults_end_ms;
+        troubled && self.plan.lost_answers > 0 && self.below(100) < self.plan.lost_answers
+    }
+
+    /// An answer is lost: its operator sends the same order again after its silence.
+    pub(super) fn answer_lost(&mut self, id: RequestId, answer: &AdminResponse) {
+        let Some((operator, current)) = self.desk.of(id) else { return };
+        let number = current.number;
+        self.oracle.answer_lost(number, answer);
+        self.note(|| format!("operator {operator} does not hear {answer:?} on {number}"));
+    }
+
     /// Faults that wait for an acknowledgement.
     fn after_ack(&mut self) {
         let taken = self.oracle.taken();
--- a/world/tests/hunt.rs
+++ b/world/tests/hunt.rs
@@ -69,6 +69,27 @@
     expect_that!(taken.iter().filter(|at_ms| **at_ms > 9_000.0).count(), gt(0));
 }
 
+#[gtest]
+fn orders_are_taken_once_although_their_answers_are_lost() {
+    let quiet = quiet_world();
+    let heard = play(&quiet);
+    let plan = Plan { lost_answers: 50, ..quiet };
+    let outcome = play_traced(&plan, None);
+    expect_that!(outcome.violation, none());
+    expect_that!(outcome.taken, gt(4));
+    expect_that!(outcome.messages, not(eq(heard.messages)));
+    let unheard = outcome.trace.iter().filter(|line| line.contains("does not hear Taken")).count();
+    expect_that!(unheard, gt(0));
+}
+
+#[gtest]
+fn an_order_that_is_not_known_again_is_found() {
+    let first = plans(1_000_007).take(50).find_map(|plan| find(plan, Some(Planted::TakesResentForNew)));
+    let found = first.expect("it is found");
+    println!("{:?}", found.violation);
+    expect_that!(found.violation.rule, eq(Rule::TakenStaysTaken));
+}
+
 #[gtest]
 fn quiet_worlds_take_orders() {
     for plan in plans(2).take(20).map(Plan::without_faults) {
--- a/world/tests/oracle.rs
+++ b/world/tests/oracle.rs
@@ -268,3 +268,58 @@
     oracle.vote(2, replica(3, 1));
     expect_that!(rule(&oracle), some(eq(Rule::OnlyVotersVote)));
 }
+
+#[gtest]
+fn what_was_taken_is_not_refused_when_it_is_sent_again() {
+    let mut oracle = begun();
+    oracle.began(2, &set(5, 7, true));
+    oracle.answer_lost(2, &taken(7));
+    expect_that!(oracle.violation(), none());
+    oracle.answered(2, &AdminResponse::Conflict { revision: 9 });
+    expect_that!(rule(&oracle), some(eq(Rule::TakenStaysTaken)));
+    let mut invalid = begun();
+    invalid.began(2, &set(5, 7, true));
+    invalid.answer_lost(2, &taken(7));
+    invalid.answered(2, &AdminResponse::Invalid(String::new()));
+    expect_that!(rule(&invalid), some(eq(Rule::TakenStaysTaken)));
+    let mut again = begun();
+    again.began(2, &set(5, 7, true));
+    again.answer_lost(2, &taken(7));
+    again.in_force(2, 7, 7);
+    again.answered(2, &taken(7));
+    expect_that!(again.violation(), none());
+    let mut refused = begun();
+    refused.began(2, &set(4, 7, true));
+    refused.answer_lost(2, &AdminResponse::Conflict { revision: 5 });
+    refused.answered(2, &AdminResponse::Conflict { revision: 5 });
+    expect_that!(refused.violation(), none());
+}
+
+#[gtest]
+fn an_answer_that_was_lost_binds_as_one_that_was_heard() {
+    let mut winners = begun();
+    winners.began(2, &set(5, 7, true));
+    winners.began(3, &set(5, 8, true));
+    winners.answer_lost(2, &taken(7));
+    winners.answered(3, &taken(8));
+    expect_that!(rule(&winners), some(eq(Rule::OneWinner)));
+    let mut lost = begun();
+    lost.began(2, &set(5, 7, true));
+    lost.answer_lost(2, &taken(7));
+    lost.end(&BTreeSet::from([vec![1]]), &BTreeSet::from([vec![5, 1]]), true);
+    expect_that!(rule(&lost), some(eq(Rule::NothingLost)));
+}
+
+#[gtest]
+fn after_a_lost_answer_an_order_has_its_time_anew() {
+    let mut oracle = begun();
+    oracle.began(2, &set(5, 7, true));
+    oracle.time(4 * SECOND);
+    oracle.answer_lost(2, &taken(7));
+    oracle.time(9 * SECOND);
+    oracle.sample(&[], Some(0));
+    expect_that!(oracle.violation(), none());
+    oracle.time(9 * SECOND + 1);
+    oracle.sample(&[], Some(0));
+    expect_that!(rule(&oracle), some(eq(Rule::AcknowledgedInTime)));
+}
