--- a/world/src/plan.rs
+++ b/world/src/plan.rs
@@ -1,6 +1,8 @@
 //! What happens in a world: how large it is, what the operators do, and what goes wrong when. Can be written to a file and read
 //! again, and made shorter bit by bit.
 
+mod extended;
+
 use serde::{Deserialize, Serialize};
 
 use crate::chance::Chance;
@@ -30,6 +32,9 @@
     /// What is done to one message.
     #[serde(default)]
     pub mutation: Option<Mutation>,
+    /// Of a hundred answers to operators so many are lost while things go wrong.
+    #[serde(default)]
+    pub lost_answers: u64,
 }
 
 /// An operator's undertaking: sent again until it is answered.
@@ -103,6 +108,8 @@
     Slow(u64, u64),
     /// No write to these disks ends.
     Stall(u64),
+    /// These disks are full: each write is refused, and tried again.
+    Full(u64),
     /// Of a hundred messages so many are lost, doubled, and held up beyond later ones.
     Unruly(u64, u64, u64),
     /// The machine in this place goes for good, and another one with an empty disk and another address takes its place.
@@ -171,6 +178,7 @@
             orders: orders(&mut chance, faults_end_ms),
             faults: Vec::new(),
             mutation: None,
+            lost_answers: 0,
         };
         if members == 1 {
             plan.faults = plan.handed_over(&mut chance);
--- a/world/src/run/machines.rs
+++ b/world/src/run/machines.rs
@@ -6,14 +6,14 @@
 use ivyhatch_control::state::State;
 use ivyhatch_control::{ControlPlane, Identity, Input, Output};
 use ivyhatch_protocol::feed::Server;
-use ivyhatch_protocol::ids::{Epoch, NodeId, Part, ReplicaId, hash, mix};
-use ivyhatch_protocol::peer::{ConsensusMessage, Heartbeat, Membership, Peer};
+use ivyhatch_protocol::ids::{Epoch, NodeId, Part, ReplicaId};
+use ivyhatch_protocol::peer::{ConsensusMessage, Membership, Peer};
 use ivyhatch_protocol::{MILLISECOND, Nanos, SECOND};
-use speedy::Writable;
 
+use super::describe::peer_message;
 use super::{Happening, Said, TICK, World, address, place};
 use crate::chance::draw;
-use crate::demand::{digest, zone};
+use crate::demand::zone;
 use crate::disk::Disk;
 use crate::oracle::Rule;
 use crate::planted::Planted;
@@ -21,6 +21,8 @@
 const PARTS: usize = ivyhatch_protocol::ids::HASHED_PARTS as usize + 1;
 /// A sync takes so long at the least and at the most.
 const SYNC: (Nanos, Nanos) = (2 * MILLISECOND, 6 * MILLISECOND);
+/// A write that a disk has refused is tried again after this.
+const WRITE_AGAIN: Nanos = 200 * MILLISECOND;
 /// A process that is told to end waits no longer than this for its successor.
 const GRACE: Nanos = 6_500 * MILLISECOND;
 
@@ -44,6 +46,8 @@
     /// Milliseconds that a write takes, where that is more than usual.
     pub(super) slow: Vec<u64>,
     pub(super) stalled: u32,
+    /// Troubles under which its disk refuses writes.
+    pub(super) full: u32,
     wants: Vec<NodeId>,
     pub(super) linked: BTreeSet<usize>,
     /// Who has handed its state to one that has lost its disk, or is new, until they are enough.
@@ -53,12 +57,12 @@
     /// It has been replaced, and does not come back.
     pub(super) is_gone: bool,
     /// The newest membership that it had when the judge looked last.
-    generation: u64,
+    pub(super) generation: u64,
     /// What it was before it lost its disk, for the fault that it goes on as that.
     before_wipe: Option<(ReplicaId, Option<Membership>, Option<u64>)>,
-    seen: [u64; PARTS],
-    list: (Epoch, u64),
-    lower: Option<(Epoch, u64)>,
+    pub(super) seen: [u64; PARTS],
+    pub(super) list: (Epoch, u64),
+    pub(super) lower: Option<(Epoch, u64)>,
 }
 
 impl Machine {
@@ -190,7 +194,8 @@
         this.node = None;
         this.held.clear();
         this.frozen_until = 0;
-        this.disk.cut_short(present);
+        // A full disk has nothing of the block.
+        this.disk.cut_short(present && this.full == 0);
         for other in 0..self.machines.len() {
             self.machines[other].linked.remove(&machine);
         }
@@ -310,7 +315,7 @@
     }
 
     fn heard_by(&mut self, machine: usize, from: usize, message: &Peer) {
-        self.note(|| format!("{from} -> {machine} {}", short(message)));
+        self.note(|| format!("{from} -> {machine} {}", peer_message(message)));
         let seed = self.plan.seed;
         let members = self.plan.members;
         let this = &mut self.machines[machine];
@@ -347,6 +352,10 @@
             self.after(20 * MILLISECOND, Happening::Synced(machine, life));
             return;
         }
+        if this.full > 0 {
+            self.after(WRITE_AGAIN, Happening::Synced(machine, life));
+            return;
+        }
         let tokens = this.disk.end();
         for token in tokens {
             if self.planted != Some(Planted::AcknowledgesBeforeSync) {
@@ -433,6 +442,9 @@
             }
             Output::Respond(id, answer) => {
                 self.note(|| format!("node {machine} answers {id}: {answer:?}"));
+                if self.loses_answer() {
+                    return self.answer_lost(id, &answer);
+                }
                 let after = (3 + self.below(10)) * MILLISECOND;
                 self.after(after, Happening::Answer(id, answer));
             }
@@ -460,7 +472,7 @@
                 }
         );
         if votes && self.machines[machine].wiped.is_some() {
-            let text = format!("node {machine} has lost its disk, and says {}", short(&message));
+            let text = format!("node {machine} has lost its disk, and says {}", peer_message(&message));
             self.oracle.broken(Rule::WipedIsSilent, text);
         }
         self.judge_vote(machine, &message);
@@ -470,166 +482,4 @@
             self.send(machine, to, life, Said::Peer(message));
         }
     }
-
-    /// Shows the judge a vote: who gives it, and under which membership.
-    fn judge_vote(&mut self, machine: usize, message: &Peer) {
-        let Peer::Consensus { generation, message: vote, .. } = message else { return };
-        let votes = matches!(
-            vote,
-            ConsensusMessage::Promise { .. }
-                | ConsensusMessage::Accepted { .. }
-                | ConsensusMessage::Confirmed { .. }
-        );
-        let replica = self.machines[machine].node.as_ref().and_then(ControlPlane::replica);
-        if let Some(replica) = replica.filter(|_| votes) {
-            self.oracle.vote(*generation, replica);
-        }
-    }
-
-    /// A message as it is sent with a known fault put in; none where it is not sent.
-    fn altered(
-        &mut self,
-        machine: usize,
-        to: NodeId,
-        message: Peer,
-        events: &mut Vec<Input>,
-    ) -> Option<Peer> {
-        let Some(planted) = self.planted else { return Some(message) };
-        match (planted, message) {
-            (
-                Planted::SkipsConfirmation,
-                Peer::Consensus { generation, part, message: ConsensusMessage::Confirm { epoch, number } },
-            ) => {
-                let message = ConsensusMessage::Confirmed { epoch, number };
-                events.push(Input::Peer(to, Peer::Consensus { generation, part, message }));
-                None
-            }
-            (
-                Planted::AcceptsLowerEpoch,
-                Peer::Consensus { generation, part, message: ConsensusMessage::Reject { promised } },
-            ) => {
-                let lower = self.machines[machine].lower.take().filter(|(epoch, _)| epoch.node == to);
-                let message = lower.map_or(ConsensusMessage::Reject { promised }, |(epoch, sequence)| {
-                    ConsensusMessage::Accepted { epoch, sequence }
-                });
-                Some(Peer::Consensus { generation, part, message })
-            }
-            (
-                Planted::LeadsWithoutElection,
-                Peer::Consensus { generation, part, message: ConsensusMessage::Prepare { epoch } },
-            ) if part != Part::MEMBERSHIP => {
-                let message = ConsensusMessage::Promise { epoch, accepted: None };
-                events.push(Input::Peer(to, Peer::Consensus { generation, part, message }));
-                None
-            }
-            (
-                Planted::ChangesMembershipAlone,
-                Peer::Consensus { generation, part: part @ Part::MEMBERSHIP, message },
-            ) => {
-                let message = match message {
-                    ConsensusMessage::Prepare { epoch } => {
-                        ConsensusMessage::Promise { epoch, accepted: None }
-                    }
-                    ConsensusMessage::Accept(value) => {
-                        ConsensusMessage::Accepted { epoch: value.epoch, sequence: value.sequence }
-                    }
-                    message => return Some(Peer::Consensus { generation, part, message }),
-                };
-                events.push(Input::Peer(to, Peer::Consensus { generation, part, message }));
-                None
-            }
-            (Planted::CountsBeforeState, Peer::StateTransferRequest { incarnation, generation }) => {
-                let node = self.machines[place(to)].node.as_ref();
-                let disk = node.and_then(ControlPlane::replica)?.disk;
-                let partitions = Vec::new();
-                let empty = Peer::StateTransfer { incarnation, generation, disk, partitions };
-                events.push(Input::Peer(to, empty));
-                None
-            }
-            (Planted::OldGenerationCounts, Peer::Consensus { part, message, generation }) => {
-                let receiver = self.machines.get(place(to)).and_then(|machine| machine.node.as_ref());
-                let newer = receiver.and_then(ControlPlane::membership).map(|known| known.generation);
-                let generation = newer.unwrap_or(generation);
-                Some(Peer::Consensus { generation, part, message })
-            }
-            (_, message) => Some(message),
-        }
-    }
-
-    /// Shows the judge what a node has in force.
-    pub(super) fn see(&mut self, machine: usize) {
-        let this = &mut self.machines[machine];
-        let Some(node) = &this.node else { return };
-        let who = (address(machine).0, this.life);
-        if let Some(membership) = node.membership().filter(|known| known.generation != this.generation) {
-            this.generation = membership.generation;
-            self.oracle.membership(membership);
-        }
-        for part in Part::all() {
-            let (sequence, state) = node.committed_state(part);
-            let seen = &mut this.seen[usize::from(part.0)];
-            if sequence == *seen {
-                continue;
-            }
-            *seen = sequence;
-            match state {
-                Some(State::Configured(configured)) => {
-                    let document = &configured.document;
-                    let digest = digest(document);
-                    self.oracle.seen(who, part, sequence, digest);
-                    self.oracle.in_force(sequence, document.revision, digest);
-                }
-                Some(State::Evacuated(evacuated)) => {
-                    let bytes = evacuated.write_to_vec().unwrap_or_default();
-                    self.oracle.seen(who, part, sequence, hash(&bytes));
-                }
-                None => {}
-            }
-        }
-        let position = node.list().position();
-        if position != this.list {
-            this.list = position;
-            let (epoch, number) = position;
-            if epoch != Epoch::default() {
-                let told = node.list().servers(self.now);
-                let digest =
-                    told.fold(0, |sum, one| mix(sum ^ hash(one.id.as_bytes()) ^ u64::from(one.draining)));
-                let reader = mix(epoch.life ^ mix(u64::from(epoch.node.0)));
-                self.oracle.list((epoch.counter, reader, number), digest);
-            }
-        }
-    }
-}
-
-fn short(message: &Peer) -> String {
-    match message {
-        Peer::Heartbeat(heartbeat) => {
-            let Heartbeat { number, status, generation, has_quorum, .. } = heartbeat;
-            format!("heartbeat {number} {status:?} generation {generation} quorum: {has_quorum}")
-        }
-        Peer::Consensus { generation, part, message } => {
-            let message = match message {
-                ConsensusMessage::Accept(value) => format!("accept {} {}", value.epoch, value.sequence),
-                ConsensusMessage::Promise { epoch, accepted } => {
-                    let had = accepted.as_ref().map(|had| format!("{} {}", had.epoch, had.sequence));
-                    format!("promise {epoch} had {had:?}")
-                }
-                ConsensusMessage::Committed(value) => format!("committed {} {}", value.epoch, value.sequence),
-                other => format!("{other:?}"),
-            };
-            format!("generation {generation} part {} {message}", part.0)
-        }
-        Peer::Membership(membership) => {
-            let voters: Vec<String> =
-                membership.voters.iter().map(|voter| voter.replica.to_string()).collect();
-            format!("membership {} {voters:?}", membership.generation)
-        }
-        Peer::StateTransferRequest { generation, .. } => format!("state request {generation}"),
-        Peer::StateTransfer { generation, .. } => format!("state of generation {generation}"),
-        Peer::Forward { number, request, .. } => format!("forward {number} part {}", request.part().0),
-        Peer::Forwarded { number, response } => format!("forwarded {number} {response:?}"),
-        Peer::Sessions(_) => "sessions".to_owned(),
-        Peer::Servers(news) => format!("servers {} {}", news.epoch, news.to),
-        Peer::WantServers => "want servers".to_owned(),
-    }
 }
