A region whose routers are all being restarted keeps its clients

Ruled out: the hand-over of control nodes (their directory knew the routers; all of the region were leaving). Change: where a region has no router that is ready, its routers that are leaving, or were within three seconds, stand for it; one that is lost without a word does not.

--- a/control/src/routers.rs
+++ b/control/src/routers.rs
@@ -14,6 +14,9 @@
 /// A router that is not there counts for so long among those who share what all may do: it may come back at any moment, or be cut
 /// off and at work.
 const SEEN: Nanos = 60 * SECOND;
+/// A router that was told to end is restarted soon, at the same address: for so long it stands for its region in the directory, if
+/// that has no other.
+const LEFT_KEPT: Nanos = 3 * SECOND;
 /// The directory names no more.
 pub const MOST_ADDRESSES: usize = 64;
 
@@ -24,6 +27,8 @@
     told: BTreeMap<NodeId, (Vec<Router>, Nanos)>,
     /// When each was known of last.
     seen: BTreeMap<NodeId, Nanos>,
+    /// Routers that were leaving when they were heard last, and when that was.
+    left: BTreeMap<NodeId, (Router, Nanos)>,
 }
 
 impl Routers {
@@ -81,6 +86,19 @@
         let there: Vec<NodeId> = self.all().into_keys().collect();
         self.seen.extend(there.into_iter().map(|node| (node, now)));
         self.seen.retain(|_, at| now < *at + SEEN);
+        self.note_leaving(now);
+    }
+
+    fn note_leaving(&mut self, now: Nanos) {
+        let all: Vec<Router> = self.all().into_values().cloned().collect();
+        for router in all {
+            if router.state == RouterState::Leaving {
+                self.left.insert(router.node, (router, now));
+            } else if router.state == RouterState::Ready {
+                self.left.remove(&router.node);
+            }
+        }
+        self.left.retain(|_, (_, at)| now < *at + LEFT_KEPT);
     }
 
     /// How many there are or were lately, and a router's place among them.
@@ -88,13 +106,20 @@
         (self.seen.range(..node).count(), self.seen.len().max(1))
     }
 
-    /// Where a client of this zone and region should go: to the routers of its region, or to all where that has none.
+    /// Where a client of this region should go: to the routers of its region, or to all where that has none. A region whose routers
+    /// are all leaving has them for a moment more: they still take connections, or are being restarted, and requests that are bound
+    /// to the region must not be led out of it.
     pub fn near(&self, region: &str) -> Vec<String> {
         let all = self.all();
-        let ready: Vec<&&Router> = all.values().filter(|router| router.state == RouterState::Ready).collect();
-        let near = |router: &&&&Router| router.region == region;
-        let count = ready.iter().filter(near).count();
-        let chosen = ready.iter().filter(|router| count == 0 || near(router));
-        chosen.map(|router| router.front.clone()).take(MOST_ADDRESSES).collect()
+        let ready = || all.values().copied().filter(|router| router.state == RouterState::Ready);
+        let near: Vec<&Router> = ready().filter(|router| router.region == region).collect();
+        let leaving =
+            || self.left.values().map(|(router, _)| router).filter(|router| router.region == region);
+        let chosen = match near.is_empty() {
+            false => near,
+            true if leaving().next().is_some() => leaving().collect(),
+            true => ready().collect(),
+        };
+        chosen.into_iter().map(|router| router.front.clone()).take(MOST_ADDRESSES).collect()
     }
 }
