--- a/control/src/routers.rs
+++ b/control/src/routers.rs
@@ -83,21 +83,19 @@
 
     /// Notes who is there. Called now and then.
     pub fn note(&mut self, now: Nanos) {
-        let there: Vec<NodeId> = self.all().into_keys().collect();
-        self.seen.extend(there.into_iter().map(|node| (node, now)));
-        self.seen.retain(|_, at| now < *at + SEEN);
-        self.note_leaving(now);
-    }
-
-    fn note_leaving(&mut self, now: Nanos) {
-        let all: Vec<Router> = self.all().into_values().cloned().collect();
-        for router in all {
-            if router.state == RouterState::Leaving {
-                self.left.insert(router.node, (router, now));
-            } else if router.state == RouterState::Ready {
-                self.left.remove(&router.node);
+        let all = self.all();
+        let there: Vec<(NodeId, RouterState)> =
+            all.values().map(|router| (router.node, router.state)).collect();
+        let leaving = all.values().filter(|router| router.state == RouterState::Leaving);
+        let leaving: Vec<Router> = leaving.map(|router| (*router).clone()).collect();
+        for (node, state) in there {
+            self.seen.insert(node, now);
+            if state == RouterState::Ready {
+                self.left.remove(&node);
             }
         }
+        self.left.extend(leaving.into_iter().map(|router| (router.node, (router, now))));
+        self.seen.retain(|_, at| now < *at + SEEN);
         self.left.retain(|_, (_, at)| now < *at + LEFT_KEPT);
     }
 
--- a/protocol/src/settings.rs
+++ b/protocol/src/settings.rs
@@ -8,6 +8,8 @@
 use figment::providers::{Format, Json};
 use serde::Deserialize;
 
+use crate::ids::NodeId;
+
 /// The variable that holds the file's path.
 pub const VARIABLE: &str = "IVYHATCH_SETTINGS";
 
@@ -187,6 +189,11 @@
 }
 
 impl Settings {
+    /// The control nodes that the settings name.
+    pub fn seed_nodes(&self) -> Vec<NodeId> {
+        self.seeds.iter().map(|seed| NodeId::from(*seed.ip())).collect()
+    }
+
     /// Reads the file that the environment names.
     ///
     /// # Errors
--- a/system/src/control.rs
+++ b/system/src/control.rs
@@ -177,17 +177,13 @@
         incarnation: life,
         has_disk,
         first_start: settings.first_start,
-        seeds: seeds(settings),
+        seeds: settings.seed_nodes(),
         zones: settings.zones.keys().cloned().collect::<BTreeSet<_>>(),
         list_every: pace as u64 * MILLISECOND,
         grace: grace(settings),
     }
 }
 
-fn seeds(settings: &Settings) -> Vec<NodeId> {
-    settings.seeds.iter().map(|seed| NodeId::from(*seed.ip())).collect()
-}
-
 fn grace(settings: &Settings) -> Nanos {
     let grace = Duration::try_from_secs_f64(settings.bounds.grace_s).unwrap_or_default();
     grace.saturating_sub(GRACE_MARGIN).as_nanos() as u64
@@ -351,16 +347,16 @@
             tokio::select! {
                 biased;
                 newer = wanted.recv() => next = newer,
-                told = cloud.read() => {
-                    self.told_list(read, told);
+                list = cloud.read() => {
+                    self.take_list(read, list);
                     next = wanted.recv().await;
                 }
             }
         }
     }
 
-    fn told_list(self: &Rc<Self>, read: ReadId, told: Result<Vec<Server>, CloudError>) {
-        match told {
+    fn take_list(self: &Rc<Self>, read: ReadId, list: Result<Vec<Server>, CloudError>) {
+        match list {
             Ok(servers) => self.hear(Input::ServerList(read, servers)),
             Err(error) => {
                 log::warn!("event=list_unread error={:?}", error.to_string());
@@ -377,7 +373,7 @@
         }
         self.reread_at.set(now);
         if let Ok(settings) = Settings::from_environment() {
-            self.hear(Input::Seeds(seeds(&settings)));
+            self.hear(Input::Seeds(settings.seed_nodes()));
         }
     }
 
@@ -386,7 +382,7 @@
         match Settings::from_environment() {
             Ok(settings) => {
                 log::info!("event=settings_read_anew seeds={:?}", settings.seeds);
-                self.hear(Input::Seeds(seeds(&settings)));
+                self.hear(Input::Seeds(settings.seed_nodes()));
             }
             Err(error) => log::warn!("event=old_settings_stay error={:?}", error.to_string()),
         }
--- a/system/src/router/sessions.rs
+++ b/system/src/router/sessions.rs
@@ -49,16 +49,12 @@
 /// A handle on the sessions.
 pub struct Sessions(Rc<Host>);
 
-fn seeds(settings: &Settings) -> Vec<NodeId> {
-    settings.seeds.iter().map(|seed| NodeId::from(*seed.ip())).collect()
-}
-
 impl Sessions {
     /// Starts to follow.
     pub fn start(settings: &Settings, clock: Clock, router: Router, dispatcher: Dispatcher) -> Self {
         let (changes, decided) = unbounded_channel();
         let host = Rc::new(Host {
-            follower: RefCell::new(Follower::new(router, &seeds(settings), clock.now())),
+            follower: RefCell::new(Follower::new(router, &settings.seed_nodes(), clock.now())),
             clock,
             writers: RefCell::default(),
             dialling: RefCell::default(),
@@ -98,7 +94,7 @@
         match Settings::from_environment() {
             Ok(settings) => {
                 log::info!("event=settings_read_anew seeds={}", settings.seeds.len());
-                self.0.handle_input(Heard::Seeds(seeds(&settings)));
+                self.0.handle_input(Heard::Seeds(settings.seed_nodes()));
             }
             Err(error) => log::warn!("event=old_settings_stay error={:?}", error.to_string()),
         }
@@ -114,7 +110,7 @@
         }
         self.reread_at.set(now);
         if let Ok(settings) = Settings::from_environment() {
-            self.handle_input(Heard::Seeds(seeds(&settings)));
+            self.handle_input(Heard::Seeds(settings.seed_nodes()));
         }
     }
 
