--- a/scripts/site-names.sh
+++ b/scripts/site-names.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Lays the names that the bench wants beside a site file: `scripts/site-names.sh FROM`, where FROM is a folder with wire.json, real.json
+# Lays the names that `fleetbench` wants beside a site file: `scripts/site-names.sh FROM`, where FROM is a folder with wire.json, real.json
 # and unlock.txt. They are not kept here; run it before a play of deploy/sites/*.toml.
 set -euo pipefail
 from=${1:?usage: scripts/site-names.sh FROM}
