--- a/control/src/consensus/whole_values.rs
+++ b/control/src/consensus/whole_values.rs
@@ -54,7 +54,7 @@
     StateUpdate { version, base: UpdateBase::Empty, writes, digest }
 }
 
-/// The whole value that an update with all registers stands for; `None` where it can't be told.
+/// The whole value that an update with all registers stands for; `None` where the registers can't be read.
 pub fn value_of(partition: PartitionId, update: StateUpdate) -> Option<AcceptedValue> {
     let Version { ballot, sequence } = update.version;
     let registers = RegisterMap::from_whole(sequence, update.writes);
--- a/control/src/control_plane/mod.rs
+++ b/control/src/control_plane/mod.rs
@@ -199,7 +199,11 @@
                 self.on_forwarded_response(request_id, response);
             }
             PeerMessage::RouterSessions(routers) => self.routers.apply_report(self.now, from, routers),
-            PeerMessage::ServerList(update) => self.on_server_list_update(from, update),
+            PeerMessage::ServerList(update) => self.on_server_list_change(from, update.into()),
+            PeerMessage::ServerListChange(change) => self.on_server_list_change(from, change),
+            PeerMessage::ServerListFetch(position) => self.on_server_list_fetch(from, position),
+            PeerMessage::RouterChanges(changes) => self.on_router_changes(from, changes),
+            PeerMessage::RouterSessionsRequest => self.send_all_routers(from),
             PeerMessage::ServerListRequest => self.on_server_list_request(from),
             PeerMessage::RegisterTransferRequest { incarnation, generation, committed } => {
                 self.on_register_transfer_request(from, incarnation, generation, &committed);
@@ -267,6 +271,11 @@
         self.peers.reachable_nodes(self.now)
     }
 
+    /// The zone of another control node, as its heartbeats have it.
+    pub fn zone_of_peer(&self, node: NodeId) -> Option<&str> {
+        self.peers.heartbeat(node).map(|heartbeat| heartbeat.zone.as_str())
+    }
+
     /// Whether a zone is one of the deployment's.
     pub fn has_zone(&self, zone: &str) -> bool {
         self.config.zones.contains(zone)
--- a/control/src/control_plane/peers.rs
+++ b/control/src/control_plane/peers.rs
@@ -13,8 +13,12 @@
     pub(super) fn on_connected(&mut self, node: NodeId) {
         self.peers.add(node);
         self.send_heartbeat();
-        let routers = self.routers.local_routers();
-        self.outbox.send_to_peer(node, PeerMessage::RouterSessions(routers));
+        self.send_all_routers(node);
+    }
+
+    /// The other nodes: those that support registers, and those of earlier releases.
+    pub(super) fn peers_by_release(&self) -> (Vec<NodeId>, Vec<NodeId>) {
+        self.peers.nodes().partition(|node| self.supports_registers(*node))
     }
 
     pub(super) fn update_connections(&mut self) {
@@ -81,7 +85,7 @@
             }
         }
         if self.server_list.begin_request(self.now, heartbeat.server_list) {
-            self.outbox.send_to_peer(from, PeerMessage::ServerListRequest);
+            self.request_server_list(from);
         }
     }
 }
--- a/control/src/control_plane/server_list.rs
+++ b/control/src/control_plane/server_list.rs
@@ -2,7 +2,7 @@
 
 use ivyhatch_protocol::ids::{Ballot, NodeId};
 use ivyhatch_protocol::peer::PeerMessage;
-use ivyhatch_protocol::watch::{Server, ServerListUpdate};
+use ivyhatch_protocol::watch::{Server, ServerListChange, ServerListPosition};
 
 use super::ControlPlane;
 use crate::interface::Output;
@@ -46,7 +46,7 @@
             match output {
                 RoleOutput::Log(event) => self.outbox.log(event),
                 RoleOutput::Read(read) => self.outbox.push(Output::ReadServerList(read)),
-                RoleOutput::Broadcast(update) => self.broadcast(&PeerMessage::ServerList(update)),
+                RoleOutput::Broadcast(change) => self.broadcast_server_list(change),
                 RoleOutput::RenewBallot(superseded_by) => self.renew_reader_ballot(superseded_by),
                 RoleOutput::AnnounceYield => self.send_heartbeat(),
             }
@@ -62,17 +62,44 @@
         self.apply_effects(partition, effects);
     }
 
-    pub(super) fn on_server_list_update(&mut self, from: NodeId, update: ServerListUpdate) {
-        match self.server_list.apply_update(self.now, update) {
+    /// Sends a change of the list to all other control nodes, to those of earlier releases in the form that they understand.
+    fn broadcast_server_list(&mut self, change: ServerListChange) {
+        let (peers, of_earlier_releases) = self.peers_by_release();
+        if !of_earlier_releases.is_empty() {
+            let update = change.to_update().or_else(|| self.server_list.whole_update(self.now));
+            let messages = update.into_iter().map(PeerMessage::ServerList);
+            messages.for_each(|message| self.outbox.send_to_peers(of_earlier_releases.clone(), message));
+        }
+        self.outbox.send_to_peers(peers, PeerMessage::ServerListChange(change));
+    }
+
+    pub(super) fn on_server_list_change(&mut self, from: NodeId, change: ServerListChange) {
+        match self.server_list.apply_change(self.now, change) {
             UpdateOutcome::Applied(event) => self.outbox.log(event),
             UpdateOutcome::NotNewer => {}
-            UpdateOutcome::Gap => self.outbox.send_to_peer(from, PeerMessage::ServerListRequest),
+            UpdateOutcome::Gap => self.request_server_list(from),
         }
     }
 
+    /// Requests what this node lacks of the list.
+    pub(super) fn request_server_list(&mut self, from: NodeId) {
+        let request = match self.supports_registers(from) {
+            true => PeerMessage::ServerListFetch(self.server_list.list().position()),
+            false => PeerMessage::ServerListRequest,
+        };
+        self.outbox.send_to_peer(from, request);
+    }
+
     pub(super) fn on_server_list_request(&mut self, from: NodeId) {
-        if let Some(update) = self.server_list.full_update(self.now) {
+        if let Some(update) = self.server_list.whole_update(self.now) {
             self.outbox.send_to_peer(from, PeerMessage::ServerList(update));
         }
     }
+
+    pub(super) fn on_server_list_fetch(&mut self, from: NodeId, position: ServerListPosition) {
+        if let Some(change) = self.server_list.changes_since(self.now, position) {
+            let change = change.into_inner();
+            self.outbox.send_to_peer(from, PeerMessage::ServerListChange(change));
+        }
+    }
 }
--- a/control/src/control_plane/watchers.rs
+++ b/control/src/control_plane/watchers.rs
@@ -2,8 +2,8 @@
 
 use ivyhatch_protocol::Nanos;
 use ivyhatch_protocol::ids::NodeId;
-use ivyhatch_protocol::peer::PeerMessage;
-use ivyhatch_protocol::watch::{Position, WatchRequest, WatchResponse};
+use ivyhatch_protocol::peer::{PeerMessage, RouterChanges};
+use ivyhatch_protocol::watch::{ControlNode, Position, WatchRequest, WatchResponse};
 
 use super::ControlPlane;
 use crate::interface::{Output, SessionId};
@@ -16,8 +16,9 @@
         match self.sessions.handle(self.now, id, request, &mut self.routers) {
             WatchEvent::None => {}
             WatchEvent::RoutersChanged => self.send_routers(),
-            WatchEvent::Fetch(position) => {
-                for response in self.updates_since(&position) {
+            WatchEvent::Fetch { position, extended } => {
+                let updates = updates_since(self.now, &self.feed, &mut self.server_list, &position, extended);
+                for response in updates {
                     self.outbox.push(Output::Watch(id, response));
                 }
             }
@@ -47,14 +48,27 @@
         }
     }
 
+    /// Sends the other control nodes how the routers of this node have changed since the last report.
     fn send_routers(&mut self) {
-        self.routers.record_report_sent(self.now);
+        let (peers, of_earlier_releases) = self.peers_by_release();
+        let changes = self.routers.take_report(self.now);
+        self.outbox.send_to_peers(peers, PeerMessage::RouterChanges(changes));
+        if !of_earlier_releases.is_empty() {
+            let routers = self.routers.local_routers();
+            self.outbox.send_to_peers(of_earlier_releases, PeerMessage::RouterSessions(routers));
+        }
+    }
+
+    /// Sends one of the other control nodes all routers of this node.
+    pub(super) fn send_all_routers(&mut self, to: NodeId) {
         let routers = self.routers.local_routers();
-        self.broadcast(&PeerMessage::RouterSessions(routers));
+        self.outbox.send_to_peer(to, PeerMessage::RouterSessions(routers));
     }
 
-    fn updates_since(&self, position: &Position) -> Vec<WatchResponse> {
-        updates_since(self.now, &self.feed, &self.server_list, position)
+    pub(super) fn on_router_changes(&mut self, from: NodeId, changes: RouterChanges) {
+        if !self.routers.apply_changes(self.now, from, changes) {
+            self.outbox.send_to_peer(from, PeerMessage::RouterSessionsRequest);
+        }
     }
 
     /// How far this node is with all that is watched.
@@ -62,6 +76,17 @@
         Position { server_list: self.server_list.list().position(), ..self.feed.position() }
     }
 
+    /// The control nodes that are known, in the order of addresses.
+    fn control_nodes(&self) -> Vec<ControlNode> {
+        let zone =
+            |node| self.peers.heartbeat(node).map_or_else(String::new, |heartbeat| heartbeat.zone.clone());
+        let peers = self.peers.nodes().map(|node| ControlNode { node, zone: zone(node) });
+        let own = ControlNode { node: self.config.node, zone: self.config.zone.clone() };
+        let mut nodes: Vec<ControlNode> = peers.chain([own]).collect();
+        nodes.sort_unstable();
+        nodes
+    }
+
     /// Sends updates and progress on the sessions where they are due.
     pub(super) fn publish_to_watchers(&mut self) {
         let position = self.position();
@@ -69,17 +94,18 @@
         if due.is_empty() {
             return;
         }
-        let mut control_nodes: Vec<NodeId> = self.peers.nodes().chain([self.config.node]).collect();
-        control_nodes.sort_unstable();
+        let control_nodes = self.control_nodes();
         let progress = Progress {
             position,
             has_quorum: self.has_quorum(),
             knows_all_routers: self.quorum_contact.is_settled(self.now),
             control_nodes,
         };
-        let (now, feed, server_list) = (self.now, &self.feed, &self.server_list);
+        let (now, feed, server_list) = (self.now, &self.feed, &mut self.server_list);
         for id in due {
-            let updates = |position: &Position| updates_since(now, feed, server_list, position);
+            let updates = |position: &Position, extended: bool| {
+                updates_since(now, feed, server_list, position, extended)
+            };
             for response in self.sessions.responses(now, id, &progress, &self.routers, updates) {
                 self.outbox.push(Output::Watch(id, response));
             }
@@ -91,10 +117,17 @@
 fn updates_since(
     now: Nanos,
     feed: &ChangeFeed,
-    server_list: &ServerListRole,
+    server_list: &mut ServerListRole,
     position: &Position,
+    extended: bool,
 ) -> Vec<WatchResponse> {
     let mut updates = feed.updates_since(position);
-    updates.extend(server_list.update_since(now, position.server_list));
+    if extended {
+        let change = server_list.changes_since(now, position.server_list);
+        updates.extend(change.map(WatchResponse::ServerListChange));
+    } else {
+        let update = server_list.update_since(now, position.server_list);
+        updates.extend(update.map(WatchResponse::ServerList));
+    }
     updates
 }
--- a/control/src/lib.rs
+++ b/control/src/lib.rs
@@ -37,7 +37,7 @@
 //! - [`requests`]: operators' requests on their way to the leader and in its queue;
 //! - [`watch`]: what routers are sent, their sessions, and the registry of routers;
 //! - [`server_list`]: the platform's list of servers and the role of its reader;
-//! - [`load_aggregator`]: the load that routers have put on servers, summed up for each of them;
+//! - [`load_aggregator`]: the load that routers have put on servers, summed up for each of them; [`load_exchange`]: its receivers;
 //! - [`storage`]: records and the state that they make up; [`outbox`]: outputs; [`interface`]: the types of the boundary;
 //! - [`ControlPlane`]: owns all of these, and joins them.
 
@@ -46,6 +46,7 @@
 pub mod interface;
 pub mod liveness;
 pub mod load_aggregator;
+pub mod load_exchange;
 pub mod log_event;
 pub mod membership;
 pub mod outbox;
--- a/control/src/load_aggregator.rs
+++ b/control/src/load_aggregator.rs
@@ -11,6 +11,8 @@
 
 /// A report counts for this long: four intervals of a router.
 const REPORT_LIFETIME: Nanos = 400 * MILLISECOND;
+/// A report of another region's servers counts for this long: two of its intervals and a half.
+const REMOTE_REPORT_LIFETIME: Nanos = 2500 * MILLISECOND;
 
 /// The load at one server, over several senders.
 #[derive(Clone, Copy, Debug, Default)]
@@ -49,13 +51,18 @@
 }
 
 /// The reports of some senders, and their sum.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct Reports {
+    lifetime: Nanos,
     by_sender: BTreeMap<NodeId, Report>,
     totals: HashMap<u32, Total>,
 }
 
 impl Reports {
+    fn new(lifetime: Nanos) -> Self {
+        Self { lifetime, by_sender: BTreeMap::new(), totals: HashMap::new() }
+    }
+
     /// Adds the report of a sender that has none.
     fn insert(&mut self, now: Nanos, sender: NodeId, loads: Vec<ServerLoad>) {
         for load in &loads {
@@ -71,7 +78,8 @@
     }
 
     fn expire(&mut self, now: Nanos) {
-        let is_expired = |report: &Report| now >= report.received_at + REPORT_LIFETIME;
+        let lifetime = self.lifetime;
+        let is_expired = |report: &Report| now >= report.received_at + lifetime;
         let expired = self.by_sender.extract_if(.., |_, report| is_expired(report));
         let expired: Vec<Report> = expired.map(|(_, report)| report).collect();
         for report in expired {
@@ -91,10 +99,22 @@
 }
 
 /// The loads that are known at one control node.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct LoadAggregator {
     routers: Reports,
     control_nodes: Reports,
+    /// What control nodes of other regions report of their own servers.
+    remote_regions: Reports,
+}
+
+impl Default for LoadAggregator {
+    fn default() -> Self {
+        Self {
+            routers: Reports::new(REPORT_LIFETIME),
+            control_nodes: Reports::new(REPORT_LIFETIME),
+            remote_regions: Reports::new(REMOTE_REPORT_LIFETIME),
+        }
+    }
 }
 
 impl LoadAggregator {
@@ -103,7 +123,7 @@
         self.expire(now);
         self.routers.remove(router);
         let mut others = self.routers.totals.clone();
-        for (server, total) in &self.control_nodes.totals {
+        for (server, total) in self.control_nodes.totals.iter().chain(&self.remote_regions.totals) {
             others.entry(*server).or_default().add(*total);
         }
         self.routers.insert(now, router, loads);
@@ -116,6 +136,12 @@
         self.control_nodes.insert(now, control_node, loads);
     }
 
+    /// Takes what a control node of another region has at the servers of that region.
+    pub fn record_remote_exchange(&mut self, now: Nanos, control_node: NodeId, loads: Vec<ServerLoad>) {
+        self.remote_regions.remove(control_node);
+        self.remote_regions.insert(now, control_node, loads);
+    }
+
     /// The sum over the routers that report to this node, for the other control nodes.
     pub fn local_sum(&mut self, now: Nanos) -> Vec<ServerLoad> {
         self.expire(now);
@@ -125,6 +151,7 @@
     fn expire(&mut self, now: Nanos) {
         self.routers.expire(now);
         self.control_nodes.expire(now);
+        self.remote_regions.expire(now);
     }
 }
 
--- a/control/src/server_list/role.rs
+++ b/control/src/server_list/role.rs
@@ -5,7 +5,7 @@
 
 use ivyhatch_protocol::ids::{Ballot, PartitionId};
 use ivyhatch_protocol::server_list::{ListUpdateOutcome, ServerList};
-use ivyhatch_protocol::watch::{Server, ServerListPosition, ServerListUpdate, WatchResponse};
+use ivyhatch_protocol::watch::{Server, ServerListChange, ServerListPosition, ServerListUpdate, Shared};
 use ivyhatch_protocol::{MILLISECOND, Nanos};
 
 use crate::log_event::{LogEvent, ServerListSource};
@@ -15,6 +15,8 @@
 const ROLE_KEY: &str = "platform-list";
 /// Wait before a list that was requested from another node and has not come is requested again.
 const REQUEST_INTERVAL: Nanos = 250 * MILLISECOND;
+/// For so long a change that was made for one receiver serves others: the remaining spans of servers in it age by it.
+const REUSE_TIME: Nanos = 100 * MILLISECOND;
 
 /// The partition whose leader has the reader's role.
 pub fn reader_partition() -> PartitionId {
@@ -28,8 +30,8 @@
     Log(LogEvent),
     /// Read the platform's list.
     Read(ReadId),
-    /// Send an update to all other control nodes.
-    Broadcast(ServerListUpdate),
+    /// Send a change to all other control nodes.
+    Broadcast(ServerListChange),
     /// Another node has led the role's partition under this ballot: step down, and win an election under a higher one.
     RenewBallot(Ballot),
     /// Send a heartbeat at once, so that another node takes the role.
@@ -47,10 +49,19 @@
     Gap,
 }
 
+/// A change that was made for a receiver, and may serve others.
+#[derive(Debug)]
+struct PreparedChange {
+    since: ServerListPosition,
+    change: Shared<ServerListChange>,
+    made_at: Nanos,
+}
+
 /// The list and the role of its reader on one node.
 #[derive(Debug)]
 pub struct ServerListRole {
     list: ServerList,
+    prepared: Option<PreparedChange>,
     reader: ServerListReader,
     requested_at: Nanos,
 }
@@ -58,7 +69,8 @@
 impl ServerListRole {
     /// An empty list. The platform is read once in every interval while the node has the role.
     pub fn new(read_interval: Nanos) -> Self {
-        Self { list: ServerList::default(), reader: ServerListReader::new(read_interval), requested_at: 0 }
+        let reader = ServerListReader::new(read_interval);
+        Self { list: ServerList::default(), prepared: None, reader, requested_at: 0 }
     }
 
     /// The list as it is known here.
@@ -145,32 +157,54 @@
             }
             return;
         }
-        let Some(update) = self.list.apply_platform_list(now, ballot, servers) else { return };
+        let Some(change) = self.list.apply_platform_list(now, ballot, servers) else { return };
         out.push(RoleOutput::Log(self.log_event(ServerListSource::Platform)));
-        let changed = update.upsert.iter().filter(|_| update.from.is_some());
+        let changed = change.upsert.iter().filter(|_| change.base.is_some());
         out.extend(changed.map(|server| RoleOutput::Log(LogEvent::ServerChanged(server.clone()))));
-        out.push(RoleOutput::Broadcast(update));
+        out.push(RoleOutput::Broadcast(change));
     }
 
-    /// Applies an update from another node.
-    pub fn apply_update(&mut self, now: Nanos, update: ServerListUpdate) -> UpdateOutcome {
-        match self.list.apply_update(now, update) {
+    /// Applies a change from another node.
+    pub fn apply_change(&mut self, now: Nanos, change: ServerListChange) -> UpdateOutcome {
+        match self.list.apply_change(now, change) {
             ListUpdateOutcome::Applied => UpdateOutcome::Applied(self.log_event(ServerListSource::Peer)),
             ListUpdateOutcome::Stale => UpdateOutcome::NotNewer,
             ListUpdateOutcome::Gap => UpdateOutcome::Gap,
         }
     }
 
-    /// The complete list, if there is one that counts.
-    pub fn full_update(&self, now: Nanos) -> Option<ServerListUpdate> {
+    /// The complete list, if there is one that counts, for a node of a release before [`ServerListChange`].
+    pub fn whole_update(&self, now: Nanos) -> Option<ServerListUpdate> {
         let has_list = self.list.position() != ServerList::default().position();
-        has_list.then(|| self.list.full_update(now))
+        has_list.then(|| self.list.whole_update(now))
+    }
+
+    /// What a watcher of a release before [`ServerListChange`] lacks of the list at this position.
+    pub fn update_since(&self, now: Nanos, position: ServerListPosition) -> Option<ServerListUpdate> {
+        (self.list.position() > position).then(|| self.list.update_since(now, position))
     }
 
-    /// What a watcher at this position lacks of the list.
-    pub fn update_since(&self, now: Nanos, position: ServerListPosition) -> Option<WatchResponse> {
-        let is_newer = self.list.position() > position;
-        is_newer.then(|| WatchResponse::ServerList(self.list.update_since(now, position)))
+    /// What a watcher or another node at this position lacks of the list. Those that ask for the same within a short time are given the
+    /// same, which is encoded once.
+    pub fn changes_since(
+        &mut self,
+        now: Nanos,
+        since: ServerListPosition,
+    ) -> Option<Shared<ServerListChange>> {
+        if self.list.position() <= since {
+            return None;
+        }
+        let reusable = self.prepared.as_ref().filter(|prepared| {
+            prepared.since == since
+                && prepared.change.position == self.list.position()
+                && now < prepared.made_at + REUSE_TIME
+        });
+        if let Some(prepared) = reusable {
+            return Some(prepared.change.clone());
+        }
+        let change: Shared<ServerListChange> = self.list.changes_since(now, since).into();
+        self.prepared = Some(PreparedChange { since, change: change.clone(), made_at: now });
+        Some(change)
     }
 
     /// Another node has a list at this position. Returns whether to request it from that node now.
--- a/control/src/watch/router_registry.rs
+++ b/control/src/watch/router_registry.rs
@@ -5,6 +5,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use ivyhatch_protocol::ids::NodeId;
+use ivyhatch_protocol::peer::{RouterChanges, routers_digest};
 use ivyhatch_protocol::watch::{Router, RouterState};
 use ivyhatch_protocol::{MILLISECOND, Nanos, SECOND};
 
@@ -33,7 +34,7 @@
 /// The routers with a session on another control node.
 #[derive(Debug)]
 struct PeerReport {
-    routers: Vec<Router>,
+    routers: BTreeMap<NodeId, Router>,
     received_at: Nanos,
 }
 
@@ -57,6 +58,8 @@
 #[derive(Debug, Default)]
 pub struct RouterRegistry {
     local: BTreeMap<NodeId, LocalRouter>,
+    /// The local routers as of the last report to other control nodes.
+    reported: BTreeMap<NodeId, Router>,
     reported_by_peers: BTreeMap<NodeId, PeerReport>,
     last_seen: BTreeMap<NodeId, Nanos>,
     draining: BTreeMap<NodeId, SeenRouter>,
@@ -96,9 +99,17 @@
         now >= self.last_report_sent_at + REPORT_INTERVAL
     }
 
-    /// Records that the local routers are sent to all other control nodes.
-    pub fn record_report_sent(&mut self, now: Nanos) {
+    /// How the local routers have changed since the last report, which this one takes the place of.
+    pub fn take_report(&mut self, now: Nanos) -> RouterChanges {
         self.last_report_sent_at = now;
+        let local: BTreeMap<NodeId, Router> =
+            self.local.iter().map(|(node, local)| (*node, local.router.clone())).collect();
+        let changed = local.iter().filter(|(node, router)| self.reported.get(node) != Some(router));
+        let upsert = changed.map(|(_, router)| router.clone()).collect();
+        let removed = self.reported.keys().filter(|node| !local.contains_key(node)).copied().collect();
+        let digest = routers_digest(local.values());
+        self.reported = local;
+        RouterChanges { upsert, removed, digest }
     }
 
     /// Makes the next report to other control nodes due at once.
@@ -116,9 +127,21 @@
 
     /// Replaces the report of another control node.
     pub fn apply_report(&mut self, now: Nanos, from: NodeId, routers: Vec<Router>) {
+        let routers = routers.into_iter().map(|router| (router.node, router)).collect();
         self.reported_by_peers.insert(from, PeerReport { routers, received_at: now });
     }
 
+    /// Changes the report of another control node. Returns whether the result is what that node has; if not, changes were missed.
+    pub fn apply_changes(&mut self, now: Nanos, from: NodeId, changes: RouterChanges) -> bool {
+        let RouterChanges { upsert, removed, digest } = changes;
+        let new_report = || PeerReport { routers: BTreeMap::new(), received_at: now };
+        let report = self.reported_by_peers.entry(from).or_insert_with(new_report);
+        report.received_at = now;
+        removed.iter().for_each(|node| drop(report.routers.remove(node)));
+        report.routers.extend(upsert.into_iter().map(|router| (router.node, router)));
+        routers_digest(report.routers.values()) == digest
+    }
+
     /// Extends the report of another control node, from which a heartbeat has been received.
     pub fn keep_report_alive(&mut self, now: Nanos, from: NodeId) {
         if let Some(report) = self.reported_by_peers.get_mut(&from) {
@@ -129,7 +152,7 @@
     /// All routers. Of several entries for one, the local one wins, then the one whose state is further on.
     fn all(&self) -> BTreeMap<NodeId, &Router> {
         let mut all: BTreeMap<NodeId, &Router> = BTreeMap::new();
-        for router in self.reported_by_peers.values().flat_map(|report| &report.routers) {
+        for router in self.reported_by_peers.values().flat_map(|report| report.routers.values()) {
             let known = all.entry(router.node).or_insert(router);
             if router.state > known.state {
                 *known = router;
--- a/control/src/watch/sessions.rs
+++ b/control/src/watch/sessions.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use ivyhatch_protocol::ids::NodeId;
-use ivyhatch_protocol::watch::{Position, Router, WatchRequest, WatchResponse};
+use ivyhatch_protocol::watch::{ControlNode, Position, Router, WatchRequest, WatchResponse};
 use ivyhatch_protocol::{MILLISECOND, Nanos, SECOND};
 
 use crate::interface::SessionId;
@@ -26,6 +26,11 @@
     last_sent_position: Position,
     last_sent_at: Nanos,
     last_received_at: Nanos,
+    /// Whether the watcher understands `WatchResponse::Alive` and the variants behind it.
+    extended: bool,
+    /// The progress and the control nodes that were sent last, to a watcher that is sent them only when they have changed.
+    last_sent: Option<WatchResponse>,
+    last_sent_control_nodes: Vec<ControlNode>,
 }
 
 impl WatchSession {
@@ -37,9 +42,29 @@
             last_sent_position: Position::default(),
             last_sent_at: 0,
             last_received_at: now,
+            extended: false,
+            last_sent: None,
+            last_sent_control_nodes: Vec::new(),
         }
     }
 
+    /// The progress and the control nodes, as far as the watcher does not know them.
+    fn changed_progress(&mut self, progress: &Progress, rank: RouterRank) -> Vec<WatchResponse> {
+        let mut responses = Vec::new();
+        if self.last_sent_control_nodes != progress.control_nodes {
+            self.last_sent_control_nodes.clone_from(&progress.control_nodes);
+            responses.push(WatchResponse::ControlNodes(progress.control_nodes.clone()));
+        }
+        let response = progress.response(rank, Vec::new());
+        if self.last_sent.as_ref() == Some(&response) {
+            responses.push(WatchResponse::Alive);
+        } else {
+            self.last_sent = Some(response.clone());
+            responses.push(response);
+        }
+        responses
+    }
+
     fn is_due(&self, now: Nanos, position: &Position) -> bool {
         let is_behind = self.last_sent_position != *position;
         self.router.is_some() && (is_behind || now >= self.last_sent_at + PROGRESS_INTERVAL)
@@ -54,7 +79,12 @@
     /// Other control nodes have to be sent the routers of this one.
     RoutersChanged,
     /// The watcher wants the updates after this position, once.
-    Fetch(Position),
+    Fetch {
+        /// The position.
+        position: Position,
+        /// Whether the watcher understands the later variants of messages.
+        extended: bool,
+    },
 }
 
 /// What a control node knows when it sends progress to watchers.
@@ -68,17 +98,17 @@
     /// quotas that are divided by their number would be too large.
     pub knows_all_routers: bool,
     /// The control nodes, in the order of addresses.
-    pub control_nodes: Vec<NodeId>,
+    pub control_nodes: Vec<ControlNode>,
 }
 
 impl Progress {
-    fn response(&self, rank: RouterRank) -> WatchResponse {
+    fn response(&self, rank: RouterRank, control_nodes: Vec<NodeId>) -> WatchResponse {
         WatchResponse::Progress {
             position: self.position.clone(),
             has_quorum: self.has_quorum,
             router_count: if self.knows_all_routers { rank.count as u32 } else { 0 },
             router_index: rank.index as u32,
-            control_nodes: self.control_nodes.clone(),
+            control_nodes,
         }
     }
 }
@@ -101,9 +131,13 @@
         let session = self.sessions.entry(id).or_insert_with(|| WatchSession::new(now));
         session.last_received_at = now;
         let router = match request {
-            WatchRequest::Fetch { position } => return WatchEvent::Fetch(position),
-            WatchRequest::Subscribe { router, primary, position } => {
+            WatchRequest::Fetch { position } => {
+                return WatchEvent::Fetch { position, extended: session.extended };
+            }
+            WatchRequest::Subscribe { router, primary, mut position } => {
                 session.router = Some(router.node);
+                session.extended = position.take_extensions_mark();
+                session.last_sent = None;
                 session.is_primary = primary;
                 session.position = position;
                 session.last_sent_at = 0;
@@ -144,15 +178,20 @@
         id: SessionId,
         progress: &Progress,
         routers: &RouterRegistry,
-        updates_since: impl FnOnce(&Position) -> Vec<WatchResponse>,
+        updates_since: impl FnOnce(&Position, bool) -> Vec<WatchResponse>,
     ) -> Vec<WatchResponse> {
         let Some(session) = self.sessions.get_mut(&id) else { return Vec::new() };
         let mut responses = Vec::new();
         if session.is_primary && session.position != progress.position {
-            responses = updates_since(&session.position);
+            responses = updates_since(&session.position, session.extended);
         }
         let rank = session.router.map_or_else(RouterRank::default, |node| routers.rank(node));
-        responses.push(progress.response(rank));
+        if session.extended {
+            responses.extend(session.changed_progress(progress, rank));
+        } else {
+            let control_nodes = progress.control_nodes.iter().map(|control| control.node).collect();
+            responses.push(progress.response(rank, control_nodes));
+        }
         if session.is_primary {
             session.position.clone_from(&progress.position);
         }
--- a/control/tests/router_registry.rs
+++ b/control/tests/router_registry.rs
@@ -159,3 +159,34 @@
         elements_are![eq("10.0.0.1:8161"), eq("10.0.0.2:8161")]
     );
 }
+
+#[gtest]
+fn report_has_the_routers_that_have_changed_since_the_last_one() {
+    let mut sender = registry(RouterState::Starting, RouterState::Ready);
+    let mut receiver = RouterRegistry::default();
+    let all = sender.take_report(0);
+    expect_that!(all.upsert, len(eq(3)));
+    expect_true!(receiver.apply_changes(0, NodeId(7), all));
+    sender.record_local(0, router(1, "here", RouterState::Ready));
+    sender.remove_local(NodeId(3));
+    let changes = sender.take_report(0);
+    expect_that!(changes.upsert, elements_are![eq(&router(1, "here", RouterState::Ready))]);
+    expect_that!(changes.removed, elements_are![eq(&NodeId(3))]);
+    expect_true!(receiver.apply_changes(0, NodeId(7), changes));
+    let unchanged = sender.take_report(0);
+    expect_true!(unchanged.upsert.is_empty() && unchanged.removed.is_empty());
+    expect_true!(receiver.apply_changes(0, NodeId(7), unchanged));
+    expect_that!(receiver.addresses_for_region("here"), len(eq(2)));
+}
+
+#[gtest]
+fn missed_change_is_noticed_by_the_digest_of_the_next_one() {
+    let mut sender = registry(RouterState::Starting, RouterState::Ready);
+    let mut receiver = RouterRegistry::default();
+    expect_true!(receiver.apply_changes(0, NodeId(7), sender.take_report(0)));
+    sender.record_local(0, router(1, "here", RouterState::Ready));
+    sender.take_report(0);
+    expect_false!(receiver.apply_changes(0, NodeId(7), sender.take_report(0)));
+    receiver.apply_report(0, NodeId(7), sender.local_routers());
+    expect_true!(receiver.apply_changes(0, NodeId(7), sender.take_report(0)));
+}
--- a/control/tests/server_list_updates.rs
+++ b/control/tests/server_list_updates.rs
@@ -5,7 +5,7 @@
 use ivyhatch_control::server_list::role::{RoleOutput, ServerListRole, UpdateOutcome};
 use ivyhatch_control::{LogEvent, ServerListSource};
 use ivyhatch_protocol::ids::{Ballot, NodeId};
-use ivyhatch_protocol::watch::{Server, ServerListPosition, ServerListUpdate};
+use ivyhatch_protocol::watch::{Server, ServerListChange, ServerListPosition, ServerListUpdate};
 use ivyhatch_protocol::{Nanos, SECOND};
 
 const NOW: Nanos = 10 * SECOND;
@@ -36,8 +36,15 @@
     }
 }
 
-fn update(counter: u64, from: Option<u64>, to: u64) -> ServerListUpdate {
-    ServerListUpdate { ballot: ballot(counter), from, to, upsert: vec![server("i-1")], removed: Vec::new() }
+fn update(counter: u64, from: Option<u64>, to: u64) -> ServerListChange {
+    let update = ServerListUpdate {
+        ballot: ballot(counter),
+        from,
+        to,
+        upsert: vec![server("i-1")],
+        removed: Vec::new(),
+    };
+    update.into()
 }
 
 /// A role in which the first read has begun.
@@ -81,12 +88,12 @@
 #[gtest]
 fn update_that_does_not_follow_on_the_list_is_a_gap() {
     let mut list = ServerListRole::new(SECOND);
-    expect_that!(list.apply_update(NOW, update(3, Some(4), 5)), eq(&UpdateOutcome::Gap));
-    let applied = list.apply_update(NOW, update(3, None, 4));
+    expect_that!(list.apply_change(NOW, update(3, Some(4), 5)), eq(&UpdateOutcome::Gap));
+    let applied = list.apply_change(NOW, update(3, None, 4));
     expect_true!(matches!(applied, UpdateOutcome::Applied(LogEvent::ServerList { number: 4, .. })));
-    let applied = list.apply_update(NOW, update(3, Some(4), 5));
+    let applied = list.apply_change(NOW, update(3, Some(4), 5));
     expect_true!(matches!(applied, UpdateOutcome::Applied(LogEvent::ServerList { number: 5, .. })));
-    expect_that!(list.apply_update(NOW, update(2, None, 9)), eq(&UpdateOutcome::NotNewer));
+    expect_that!(list.apply_change(NOW, update(2, None, 9)), eq(&UpdateOutcome::NotNewer));
 }
 
 #[gtest]
@@ -98,3 +105,65 @@
     expect_false!(list.begin_request(NOW + 1, newer));
     expect_true!(list.begin_request(NOW + SECOND, newer));
 }
+
+#[gtest]
+fn next_reader_publishes_the_change_from_the_list_that_it_had() {
+    let mut list = ServerListRole::new(SECOND);
+    let whole = ServerListChange { upsert: vec![server("i-1"), server("i-2")], ..update(2, None, 7) };
+    let _ = list.apply_change(NOW, whole.clone());
+    list.tick(NOW, leading());
+    let out = list.read_succeeded(NOW, ReadId(1), leading(), vec![server("i-2"), server("i-3")]);
+    let change = ServerListChange {
+        base: Some(ServerListPosition { ballot: ballot(2), number: 7 }),
+        position: ServerListPosition { ballot: ballot(3), number: 1 },
+        upsert: vec![server("i-3")],
+        removed: vec!["i-1".to_owned()],
+    };
+    expect_that!(out.last(), some(eq(&RoleOutput::Broadcast(change.clone()))));
+    // Another node at the same version applies it, one at another version needs the whole list.
+    let mut follower = ServerListRole::new(SECOND);
+    let _ = follower.apply_change(NOW, whole);
+    expect_true!(matches!(follower.apply_change(NOW, change.clone()), UpdateOutcome::Applied(_)));
+    expect_that!(follower.list().len(), eq(2));
+    let mut other = ServerListRole::new(SECOND);
+    let _ = other.apply_change(NOW, update(2, None, 8));
+    expect_that!(other.apply_change(NOW, change), eq(&UpdateOutcome::Gap));
+    let position = other.list().position();
+    expect_that!(list.changes_since(NOW, position).and_then(|change| change.base), none());
+}
+
+#[gtest]
+fn unchanged_list_of_the_next_reader_is_a_change_without_servers() {
+    let mut list = ServerListRole::new(SECOND);
+    let _ = list.apply_change(NOW, update(2, None, 7));
+    list.tick(NOW, leading());
+    let out = list.read_succeeded(NOW, ReadId(1), leading(), vec![server("i-1")]);
+    let Some(RoleOutput::Broadcast(change)) = out.last() else { panic!("a change: {out:?}") };
+    expect_that!(change.position, eq(ServerListPosition { ballot: ballot(3), number: 1 }));
+    expect_true!(change.base.is_some() && change.upsert.is_empty() && change.removed.is_empty());
+    // A receiver of an earlier release knows no change from one reader to the next.
+    expect_that!(change.to_update(), none());
+}
+
+#[gtest]
+fn list_that_a_node_has_read_for_itself_is_replaced_whole() {
+    let mut list = reading(ReaderRole::default());
+    list.read_succeeded(NOW, ReadId(1), ReaderRole::default(), vec![server("i-1")]);
+    list.tick(NOW + SECOND, leading());
+    let out = list.read_succeeded(NOW + SECOND, ReadId(2), leading(), vec![server("i-1")]);
+    let Some(RoleOutput::Broadcast(change)) = out.last() else { panic!("a change: {out:?}") };
+    expect_that!(change.base, none());
+}
+
+#[gtest]
+fn change_for_many_receivers_is_made_once() {
+    let mut list = ServerListRole::new(SECOND);
+    let _ = list.apply_change(NOW, update(2, None, 7));
+    let since = ServerListPosition::default();
+    let first = list.changes_since(NOW, since).expect("a change");
+    let second = list.changes_since(NOW + 1, since).expect("a change");
+    expect_true!(first.ptr_eq(&second));
+    let later = list.changes_since(NOW + SECOND, since).expect("a change");
+    expect_false!(first.ptr_eq(&later));
+    expect_that!(list.changes_since(NOW, list.list().position()), none());
+}
--- a/control/tests/watch_sessions.rs
+++ b/control/tests/watch_sessions.rs
@@ -4,7 +4,7 @@
 use ivyhatch_control::watch::router_registry::RouterRegistry;
 use ivyhatch_control::watch::sessions::{Progress, WatchEvent, WatchSessions};
 use ivyhatch_protocol::ids::NodeId;
-use ivyhatch_protocol::watch::{Position, Router, RouterState, WatchRequest, WatchResponse};
+use ivyhatch_protocol::watch::{ControlNode, Position, Router, RouterState, WatchRequest, WatchResponse};
 use ivyhatch_protocol::{MILLISECOND, Nanos, SECOND};
 
 const SESSION: u64 = 1;
@@ -30,12 +30,16 @@
     WatchRequest::Subscribe { router: router(RouterState::Starting), primary, position: position(1) }
 }
 
+fn control_node(node: u32, zone: &str) -> ControlNode {
+    ControlNode { node: NodeId(node), zone: zone.to_owned() }
+}
+
 fn progress(configuration: u64, knows_all_routers: bool) -> Progress {
     Progress {
         position: position(configuration),
         has_quorum: true,
         knows_all_routers,
-        control_nodes: vec![NodeId(1)],
+        control_nodes: vec![control_node(1, "a")],
     }
 }
 
@@ -60,7 +64,7 @@
 
     /// What the session is sent, with an update that names the position it is made for.
     fn responses(&mut self, now: Nanos, progress: &Progress) -> Vec<WatchResponse> {
-        let update = |since: &Position| {
+        let update = |since: &Position, _: bool| {
             let sequence = since.configuration;
             vec![WatchResponse::Snapshot { sequence, document: Default::default() }]
         };
@@ -84,7 +88,8 @@
 fn session_without_a_subscription_is_never_due() {
     let (mut sessions, mut routers) = (WatchSessions::default(), RouterRegistry::default());
     let fetch = WatchRequest::Fetch { position: position(3) };
-    expect_that!(sessions.handle(START, SESSION, fetch, &mut routers), eq(&WatchEvent::Fetch(position(3))));
+    let event = WatchEvent::Fetch { position: position(3), extended: false };
+    expect_that!(sessions.handle(START, SESSION, fetch, &mut routers), eq(&event));
     let heartbeat = WatchRequest::Heartbeat { state: RouterState::Ready };
     expect_that!(sessions.handle(START, SESSION, heartbeat, &mut routers), eq(&WatchEvent::None));
     expect_that!(sessions.due(START + SECOND, &position(5)), is_empty());
@@ -150,3 +155,30 @@
     expect_that!(subscribed.sessions.expire(START + 4 * SECOND), elements_are![eq(&SESSION)]);
     expect_that!(subscribed.sessions.due(START + 4 * SECOND, &position(9)), is_empty());
 }
+
+#[gtest]
+fn watcher_with_extensions_is_sent_progress_and_control_nodes_only_when_they_change() {
+    let mut subscribed = Subscribed::new(false);
+    let marked = WatchRequest::Subscribe {
+        router: router(RouterState::Starting),
+        primary: false,
+        position: position(1).with_extensions_mark(),
+    };
+    subscribed.handle(START, SESSION, marked.clone());
+    let nodes = |nodes| WatchResponse::ControlNodes(nodes);
+    let out = subscribed.responses(START, &progress(1, true));
+    expect_that!(out.first(), some(eq(&nodes(vec![control_node(1, "a")]))));
+    expect_true!(
+        matches!(&out[1], WatchResponse::Progress { control_nodes, .. } if control_nodes.is_empty())
+    );
+    expect_that!(subscribed.responses(START, &progress(1, true)), elements_are![eq(&WatchResponse::Alive)]);
+    let out = subscribed.responses(START, &progress(2, true));
+    expect_true!(matches!(&out[..], [WatchResponse::Progress { .. }]));
+    let moved = Progress { control_nodes: vec![control_node(1, "b")], ..progress(2, true) };
+    let out = subscribed.responses(START, &moved);
+    expect_that!(out, elements_are![eq(&nodes(vec![control_node(1, "b")])), eq(&WatchResponse::Alive)]);
+    // After another subscription the whole progress is sent again.
+    subscribed.handle(START, SESSION, marked);
+    let out = subscribed.responses(START, &moved);
+    expect_true!(matches!(&out[..], [WatchResponse::Progress { .. }]));
+}
--- a/control/tests/whole_values.rs
+++ b/control/tests/whole_values.rs
@@ -99,7 +99,7 @@
 }
 
 #[gtest]
-fn heartbeat_tells_whether_its_sender_supports_registers() {
+fn heartbeat_shows_whether_its_sender_supports_registers() {
     let committed = PartitionId::all().map(|_| 5);
     let earlier = Heartbeat { committed: committed.collect(), ..Heartbeat::default() };
     expect_false!(earlier.supports_registers());
--- a/protocol/src/load_exchange.rs
+++ b/protocol/src/load_exchange.rs
@@ -1,8 +1,9 @@
 //! Datagrams by which routers share the load that they have put on model servers.
 //!
-//! A router reports to one control node what it has at each server, and is answered with what all other routers have there. Control nodes
-//! send each other the sums over their routers. A datagram replaces the one before from the same sender; a lost one costs nothing but
-//! the age of what the next one brings.
+//! A router reports to one control node what it has at each server, and is answered with what all other routers have at the servers of the
+//! control node's region, and from time to time with what they have elsewhere. Control nodes send each other the sums over their
+//! routers, to other regions for the receiver's servers, and from time to time for their own. A datagram replaces the one before of its
+//! kind from the same sender; a lost one costs nothing but the age of what the next one brings.
 
 use speedy::{Readable, Writable};
 
@@ -48,16 +49,26 @@
 pub enum LoadDatagram {
     /// From a router to a control node: what the router has at servers.
     Report(Vec<ServerLoad>),
-    /// From a control node to a router, in answer: what all other routers have there.
+    /// From a control node to a router, in answer: what all other routers have at the servers of the control node's region.
     Summary(Vec<ServerLoad>),
-    /// From a control node to another: what the routers that report to the sender have.
+    /// From a control node to another: what the routers that report to the sender have; for one in another region, at the servers of
+    /// that region.
     Exchange(Vec<ServerLoad>),
+    /// From a control node to a router: what all other routers have at the servers of other regions.
+    RemoteSummary(Vec<ServerLoad>),
+    /// From a control node to one in another region: what the routers that report to the sender have at the servers of the sender's
+    /// region.
+    RemoteExchange(Vec<ServerLoad>),
 }
 
 impl LoadDatagram {
     /// The bytes of the datagram. Of more than [`MAX_SERVERS`] servers those with the least queued are left out.
     pub fn encode(mut self) -> Vec<u8> {
-        let (Self::Report(loads) | Self::Summary(loads) | Self::Exchange(loads)) = &mut self;
+        let (Self::Report(loads)
+        | Self::Summary(loads)
+        | Self::Exchange(loads)
+        | Self::RemoteSummary(loads)
+        | Self::RemoteExchange(loads)) = &mut self;
         if loads.len() > MAX_SERVERS {
             loads.sort_unstable_by_key(|load| std::cmp::Reverse((load.queued_units, load.in_flight)));
             loads.truncate(MAX_SERVERS);
--- a/protocol/src/peer/mod.rs
+++ b/protocol/src/peer/mod.rs
@@ -15,6 +15,7 @@
 mod consensus;
 mod heartbeat;
 mod membership;
+mod routers;
 
 use speedy::{Readable, Writable};
 
@@ -22,8 +23,9 @@
 pub use self::consensus::{AcceptedValue, AcceptorState, ConsensusMessage, TransferredState};
 pub use self::heartbeat::Heartbeat;
 pub use self::membership::{Membership, ReplicaStatus, Voter, majority};
+pub use self::routers::{RouterChanges, routers_digest};
 use crate::ids::PartitionId;
-use crate::watch::{Router, ServerListUpdate};
+use crate::watch::{Router, ServerListChange, ServerListPosition, ServerListUpdate};
 
 /// A message from one control node to another.
 #[derive(Clone, Debug, PartialEq, Readable, Writable)]
@@ -113,4 +115,12 @@
         /// The sender's acceptor state of each partition.
         partitions: Vec<(PartitionId, TransferredState)>,
     },
+    /// [`PeerMessage::ServerList`] to a node that supports registers.
+    ServerListChange(ServerListChange),
+    /// Asks for the changes of the server list since a position; see [`PeerMessage::ServerListRequest`].
+    ServerListFetch(ServerListPosition),
+    /// How the routers with a session on the sender have changed since its last report to all nodes that support registers.
+    RouterChanges(RouterChanges),
+    /// Asks for [`PeerMessage::RouterSessions`]: a digest has shown that a change was missed.
+    RouterSessionsRequest,
 }
--- a/protocol/src/server_list.rs
+++ b/protocol/src/server_list.rs
@@ -7,7 +7,7 @@
 use std::collections::{BTreeMap, VecDeque};
 
 use crate::ids::Ballot;
-use crate::watch::{Server, ServerListPosition, ServerListUpdate};
+use crate::watch::{Server, ServerListChange, ServerListPosition, ServerListUpdate};
 use crate::{MILLISECOND, Nanos};
 
 /// The number of past changes that are kept, for replicas that are behind by no more than these.
@@ -67,8 +67,8 @@
 /// One change of the list, by the ids of the servers that it concerns.
 #[derive(Clone, Debug)]
 struct HistoryEntry {
-    /// The number of the version before the change.
-    from: u64,
+    /// The version before the change.
+    from: ServerListPosition,
     upsert: Vec<String>,
     removed: Vec<String>,
 }
@@ -91,7 +91,7 @@
 pub struct ServerList {
     position: ServerListPosition,
     entries: Entries,
-    /// Consecutive changes under the ballot of `position`, the last of which led to it.
+    /// Consecutive changes, the last of which led to `position`.
     history: VecDeque<HistoryEntry>,
 }
 
@@ -106,6 +106,11 @@
         self.entries.values().map(move |entry| entry.server_at(now))
     }
 
+    /// The id and the zone of each server, in order of the ids.
+    pub fn ids_and_zones(&self) -> impl Iterator<Item = (&str, &str)> {
+        self.entries.iter().map(|(id, entry)| (id.as_str(), entry.server.zone.as_str()))
+    }
+
     /// The number of servers.
     pub fn len(&self) -> usize {
         self.entries.len()
@@ -117,30 +122,38 @@
     }
 
     /// Replaces the list by the one that this node has read from the platform, as the reader with this
-    /// ballot. Returns the update for all other nodes; `None` if nothing has changed, or a reader with a
+    /// ballot. Returns the change for all other nodes; `None` if nothing has changed, or a reader with a
     /// higher ballot has taken over.
     pub fn apply_platform_list(
         &mut self,
         now: Nanos,
         ballot: Ballot,
         servers: Vec<Server>,
-    ) -> Option<ServerListUpdate> {
-        if ballot < self.position.ballot {
+    ) -> Option<ServerListChange> {
+        let before = self.position;
+        if ballot < before.ballot {
             return None;
         }
         let mut entries = entries(servers, now);
-        if ballot != self.position.ballot || self.position.number == 0 {
+        // Lists of the lowest ballot were read by nodes for themselves, and differ from node to node.
+        if before.number == 0 || before.ballot == Ballot::default() {
             self.reset(ServerListPosition { ballot, number: 1 }, entries);
-            return Some(self.full_update(now));
+            return Some(self.whole(now));
         }
-        let before = self.position;
-        let change = self.changes_to(&entries, now)?;
+        let change = self.changes_to(&entries, now);
+        let is_new_reader = ballot != before.ballot;
+        if change.is_none() && !is_new_reader {
+            return None;
+        }
+        let no_change = HistoryEntry { from: before, upsert: Vec::new(), removed: Vec::new() };
+        let change = change.unwrap_or(no_change);
         let changed = change.upsert.iter().filter_map(|id| entries.remove_entry(id));
         self.entries.extend(changed);
         self.entries.retain(|id, _| !change.removed.contains(id));
-        self.position.number = before.number + 1;
+        let number = if is_new_reader { 1 } else { before.number + 1 };
+        self.position = ServerListPosition { ballot, number };
         self.push_history(change);
-        Some(self.update_since(now, before))
+        Some(self.changes_since(now, before))
     }
 
     /// The change from this list to the new entries, if they differ.
@@ -151,7 +164,7 @@
         let upsert: Vec<String> = new.iter().filter(differs).map(|(id, _)| id.clone()).collect();
         let removed: Vec<String> = self.entries.keys().filter(|id| !new.contains_key(*id)).cloned().collect();
         let is_changed = !upsert.is_empty() || !removed.is_empty();
-        is_changed.then_some(HistoryEntry { from: self.position.number, upsert, removed })
+        is_changed.then_some(HistoryEntry { from: self.position, upsert, removed })
     }
 
     fn reset(&mut self, position: ServerListPosition, entries: Entries) {
@@ -169,17 +182,21 @@
 
     /// Applies an update of another node.
     pub fn apply_update(&mut self, now: Nanos, update: ServerListUpdate) -> ListUpdateOutcome {
-        let ServerListUpdate { ballot, from, to, upsert, removed } = update;
-        let position = ServerListPosition { ballot, number: to };
+        self.apply_change(now, update.into())
+    }
+
+    /// Applies a change of another node.
+    pub fn apply_change(&mut self, now: Nanos, change: ServerListChange) -> ListUpdateOutcome {
+        let ServerListChange { base, position, upsert, removed } = change;
         if position <= self.position {
             return ListUpdateOutcome::Stale;
         }
         let entries = entries(upsert, now);
-        let Some(from) = from else {
+        let Some(from) = base else {
             self.reset(position, entries);
             return ListUpdateOutcome::Applied;
         };
-        if (ServerListPosition { ballot, number: from }) != self.position {
+        if from != self.position {
             return ListUpdateOutcome::Gap;
         }
         let upsert = entries.keys().cloned().collect();
@@ -191,21 +208,18 @@
     }
 
     /// The whole list.
-    pub fn full_update(&self, now: Nanos) -> ServerListUpdate {
-        let ServerListPosition { ballot, number } = self.position;
+    pub fn whole(&self, now: Nanos) -> ServerListChange {
         let upsert = self.servers(now).collect();
-        ServerListUpdate { ballot, from: None, to: number, upsert, removed: Vec::new() }
+        ServerListChange { base: None, position: self.position, upsert, removed: Vec::new() }
     }
 
     /// The changes since a version, or the whole list if they are not kept.
-    pub fn update_since(&self, now: Nanos, since: ServerListPosition) -> ServerListUpdate {
-        let is_kept = since.ballot == self.position.ballot
-            && self.history.front().is_some_and(|oldest| oldest.from <= since.number);
-        if !is_kept {
-            return self.full_update(now);
-        }
+    pub fn changes_since(&self, now: Nanos, since: ServerListPosition) -> ServerListChange {
+        let Some(first) = self.history.iter().position(|change| change.from == since) else {
+            return self.whole(now);
+        };
         let (mut upsert, mut removed) = (BTreeMap::new(), Vec::new());
-        for change in self.history.iter().filter(|change| change.from >= since.number) {
+        for change in self.history.range(first..) {
             for id in &change.upsert {
                 if let Some(entry) = self.entries.get(id) {
                     upsert.insert(id.clone(), entry.server_at(now));
@@ -213,12 +227,20 @@
             }
             removed.extend(change.removed.iter().filter(|id| !self.entries.contains_key(*id)).cloned());
         }
-        ServerListUpdate {
-            ballot: since.ballot,
-            from: Some(since.number),
-            to: self.position.number,
-            upsert: upsert.into_values().collect(),
-            removed,
-        }
+        let upsert = upsert.into_values().collect();
+        ServerListChange { base: Some(since), position: self.position, upsert, removed }
+    }
+
+    /// The changes since a version under the same ballot, or the whole list, for a receiver of a release before
+    /// [`ServerListChange`].
+    pub fn update_since(&self, now: Nanos, since: ServerListPosition) -> ServerListUpdate {
+        self.changes_since(now, since).to_update().unwrap_or_else(|| self.whole_update(now))
+    }
+
+    /// The whole list, for a receiver of a release before [`ServerListChange`].
+    pub fn whole_update(&self, now: Nanos) -> ServerListUpdate {
+        let ServerListPosition { ballot, number: to } = self.position;
+        let upsert = self.servers(now).collect();
+        ServerListUpdate { ballot, from: None, to, upsert, removed: Vec::new() }
     }
 }
--- a/protocol/src/watch/endpoints.rs
+++ b/protocol/src/watch/endpoints.rs
@@ -32,6 +32,15 @@
     pub state: RouterState,
 }
 
+/// A control node, as routers choose among them.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Readable, Writable)]
+pub struct ControlNode {
+    /// The node.
+    pub node: NodeId,
+    /// The zone of its machine; empty where it is not known yet.
+    pub zone: String,
+}
+
 /// A server of the platform's list.
 ///
 /// Times are remaining spans, as control nodes and routers share no clock. They are as of the encoding of the
--- a/protocol/src/watch/mod.rs
+++ b/protocol/src/watch/mod.rs
@@ -17,9 +17,9 @@
 
 use speedy::{Readable, Writable};
 
-pub use self::endpoints::{Router, RouterState, Server};
+pub use self::endpoints::{ControlNode, Router, RouterState, Server};
 pub use self::position::{EvacuationPosition, Position, ServerListPosition};
-pub use self::updates::{EvacuationUpdate, ServerListUpdate, ZoneEvacuation};
+pub use self::updates::{EvacuationUpdate, ServerListChange, ServerListUpdate, ZoneEvacuation};
 use crate::configuration::{Change, Document};
 use crate::ids::NodeId;
 pub use crate::shared::Shared;
@@ -90,4 +90,11 @@
     Evacuations(EvacuationUpdate),
     /// The whole server list, or a change of it.
     ServerList(ServerListUpdate),
+    /// Nothing has changed since the last [`WatchResponse::Progress`]. This variant and those behind it are sent to watchers that
+    /// mark their position ([`Position::with_extensions_mark`]).
+    Alive,
+    /// The control nodes that the sender knows, itself included. Replaces those of an earlier message; `Progress` names none then.
+    ControlNodes(Vec<ControlNode>),
+    /// The whole server list, or a change of it.
+    ServerListChange(Shared<ServerListChange>),
 }
--- a/protocol/src/watch/position.rs
+++ b/protocol/src/watch/position.rs
@@ -37,7 +37,26 @@
     pub server_list: ServerListPosition,
 }
 
+/// Names no partition: marks the position of a watcher that understands [`super::WatchResponse::Alive`] and the variants behind it.
+/// Releases before these ignore the entry.
+const EXTENSIONS_MARK: EvacuationPosition =
+    EvacuationPosition { partition: PartitionId(u8::MAX), sequence: 1 };
+
 impl Position {
+    /// This position, marked as that of a watcher that understands the later variants of messages.
+    #[must_use]
+    pub fn with_extensions_mark(mut self) -> Self {
+        self.evacuations.push(EXTENSIONS_MARK);
+        self
+    }
+
+    /// Removes the mark. Returns whether there was one.
+    pub fn take_extensions_mark(&mut self) -> bool {
+        let count = self.evacuations.len();
+        self.evacuations.retain(|position| *position != EXTENSIONS_MARK);
+        self.evacuations.len() < count
+    }
+
     /// The sequence of a partition's last change of evacuations; 0 for none.
     pub fn evacuation_sequence(&self, partition: PartitionId) -> u64 {
         self.evacuations.iter().find(|known| known.partition == partition).map_or(0, |known| known.sequence)
--- a/protocol/src/watch/updates.rs
+++ b/protocol/src/watch/updates.rs
@@ -3,7 +3,7 @@
 use speedy::{Readable, Writable};
 
 use super::endpoints::Server;
-use super::position::EvacuationPosition;
+use super::position::{EvacuationPosition, ServerListPosition};
 use crate::ids::{Ballot, PartitionId};
 
 /// The whole server list, or the change from one version of it to a later one under the same ballot.
@@ -21,6 +21,42 @@
     pub removed: Vec<String>,
 }
 
+/// The whole server list, or the change from one version of it to a later one, also to one of the next reader.
+///
+/// Sent to receivers that are known to understand it; releases before it get [`ServerListUpdate`].
+#[derive(Clone, Debug, PartialEq, Eq, Readable, Writable)]
+pub struct ServerListChange {
+    /// The version that the change applies to; none for the whole list.
+    pub base: Option<ServerListPosition>,
+    /// The resulting version.
+    pub position: ServerListPosition,
+    /// The servers that were added or changed; in a whole list, all servers.
+    pub upsert: Vec<Server>,
+    /// The ids of the servers that were removed; empty in a whole list.
+    pub removed: Vec<String>,
+}
+
+impl ServerListChange {
+    /// The same as an update; `None` where it leads from one reader to the next.
+    pub fn to_update(&self) -> Option<ServerListUpdate> {
+        let ServerListPosition { ballot, number: to } = self.position;
+        let from = match self.base {
+            Some(base) if base.ballot != ballot => return None,
+            base => base.map(|base| base.number),
+        };
+        let (upsert, removed) = (self.upsert.clone(), self.removed.clone());
+        Some(ServerListUpdate { ballot, from, to, upsert, removed })
+    }
+}
+
+impl From<ServerListUpdate> for ServerListChange {
+    fn from(update: ServerListUpdate) -> Self {
+        let ServerListUpdate { ballot, from, to, upsert, removed } = update;
+        let version = |number| ServerListPosition { ballot, number };
+        Self { base: from.map(version), position: version(to), upsert, removed }
+    }
+}
+
 /// Whether a zone is evacuated.
 #[derive(Clone, Debug, PartialEq, Eq, Readable, Writable)]
 pub struct ZoneEvacuation {
--- a/protocol/tests/golden.rs
+++ b/protocol/tests/golden.rs
@@ -18,12 +18,13 @@
 use ivyhatch_protocol::ids::{Ballot, NodeId, PartitionId, ReplicaId};
 use ivyhatch_protocol::peer::{
     AcceptedValue, AcceptorState, AdminRequest, AdminResponse, ConsensusMessage, Heartbeat, Membership,
-    PeerMessage, ReplicaStatus, TransferredState, Voter,
+    PeerMessage, ReplicaStatus, RouterChanges, TransferredState, Voter,
 };
 use ivyhatch_protocol::registers::{RegisterKey, RegisterWrite, StateUpdate, UpdateBase, Version};
 use ivyhatch_protocol::watch::{
-    EvacuationPosition, EvacuationUpdate, Position, Router, RouterState, Server, ServerListPosition,
-    ServerListUpdate, Shared, WatchRequest, WatchResponse, ZoneEvacuation,
+    ControlNode, EvacuationPosition, EvacuationUpdate, Position, Router, RouterState, Server,
+    ServerListChange, ServerListPosition, ServerListUpdate, Shared, WatchRequest, WatchResponse,
+    ZoneEvacuation,
 };
 use speedy::{LittleEndian, Readable, Writable};
 
@@ -259,6 +260,16 @@
     }
 }
 
+fn next_readers_list() -> ServerListChange {
+    let base = Some(ServerListPosition { ballot: ballot(5), number: 40 });
+    let position = ServerListPosition { ballot: ballot(6), number: 1 };
+    ServerListChange { base, position, upsert: vec![server()], removed: vec!["chat-2#1".to_owned()] }
+}
+
+fn router_changes() -> RouterChanges {
+    RouterChanges { upsert: vec![router(RouterState::Ready)], removed: vec![node(41)], digest: 0x5152_5354 }
+}
+
 fn register_transfer_request() -> PeerMessage {
     let (incarnation, generation) = (0x3132_3334_3536_3738, 4);
     PeerMessage::RegisterTransferRequest { incarnation, generation, committed: vec![299, 0, 7] }
@@ -331,6 +342,11 @@
         prefixed("registers", register_messages(), consensus),
         single("register_transfer_request", register_transfer_request()),
         single("register_transfer", register_transfer()),
+        single("server_list_change/whole", PeerMessage::ServerListChange(whole_server_list().into())),
+        single("server_list_change/next_reader", PeerMessage::ServerListChange(next_readers_list())),
+        single("server_list_fetch", PeerMessage::ServerListFetch(position().server_list)),
+        single("router_changes", PeerMessage::RouterChanges(router_changes())),
+        single("router_sessions_request", PeerMessage::RouterSessionsRequest),
     ]
     .into_iter()
     .flatten()
@@ -378,6 +394,7 @@
             ZoneEvacuation { zone: "south-a".to_owned(), active: true, change_count: 3 },
         ],
     };
+    let control_node = ControlNode { node: node(3), zone: "south-a".to_owned() };
     let messages = vec![
         ("progress/empty", empty_progress),
         ("progress/full", progress),
@@ -387,6 +404,9 @@
         ("evacuations", WatchResponse::Evacuations(evacuations)),
         ("server_list/whole", WatchResponse::ServerList(whole_server_list())),
         ("server_list/change", WatchResponse::ServerList(server_list_change())),
+        ("alive", WatchResponse::Alive),
+        ("control_nodes", WatchResponse::ControlNodes(vec![control_node])),
+        ("server_list_change", WatchResponse::ServerListChange(next_readers_list().into())),
     ];
     messages.into_iter().map(|(name, message)| (name.to_owned(), message)).collect()
 }
--- a/protocol/tests/load_exchange.rs
+++ b/protocol/tests/load_exchange.rs
@@ -12,9 +12,13 @@
 
 #[gtest]
 fn datagrams_are_decoded_as_they_were_encoded() {
-    for datagram in
-        [LoadDatagram::Report(loads(3)), LoadDatagram::Summary(Vec::new()), LoadDatagram::Exchange(loads(60))]
-    {
+    for datagram in [
+        LoadDatagram::Report(loads(3)),
+        LoadDatagram::Summary(Vec::new()),
+        LoadDatagram::Exchange(loads(60)),
+        LoadDatagram::RemoteSummary(loads(2)),
+        LoadDatagram::RemoteExchange(loads(5)),
+    ] {
         expect_that!(LoadDatagram::decode(&datagram.clone().encode()), some(eq(&datagram)));
     }
 }
--- a/routing/src/watch_client/connections.rs
+++ b/routing/src/watch_client/connections.rs
@@ -1,13 +1,15 @@
-//! The connections to control nodes, and the selection of the nodes to connect to: by rendezvous hashing, with a back-off for nodes
-//! that can't be reached.
+//! The connections to control nodes, and the selection of the nodes to connect to: one in the router's own zone, one in another zone of its
+//! region, and the others elsewhere, each by rendezvous hashing, with a back-off for nodes that can't be reached.
 
 use std::collections::{BTreeMap, BTreeSet};
 
 use ivyhatch_protocol::hash::{fnv1a_hash, hash_mix};
 use ivyhatch_protocol::ids::NodeId;
-use ivyhatch_protocol::watch::Position;
+use ivyhatch_protocol::watch::{ControlNode, Position};
 use ivyhatch_protocol::{MILLISECOND, Nanos, SECOND};
 
+use crate::router_share::RouterShare;
+
 /// Time between two heartbeats to a control node, and between two of its own.
 pub(super) const HEARTBEAT_INTERVAL: Nanos = 500 * MILLISECOND;
 /// Control nodes that a router is connected to at once.
@@ -17,6 +19,23 @@
 /// For so long other control nodes are preferred to one that could not be reached.
 const UNREACHABLE_BACKOFF: Nanos = 10 * SECOND;
 
+/// Where a router is.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Location {
+    pub(super) zone: String,
+    /// The zones of its region.
+    pub(super) region_zones: BTreeSet<String>,
+}
+
+/// How far a control node is from the router; a nearer one is the lesser.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) enum Distance {
+    SameZone,
+    SameRegion,
+    /// In another region, or not known.
+    Elsewhere,
+}
+
 /// A connection to a control node that is to be open, and what the node has reported on it.
 #[derive(Debug, Default)]
 pub(super) struct Connection {
@@ -27,6 +46,8 @@
     pub(super) last_received_at: Nanos,
     pub(super) has_quorum: bool,
     pub(super) position: Position,
+    /// The router's share of common limits, as the node has reported it last.
+    pub(super) router_share: RouterShare,
     /// When updates that the router lacks were last fetched from this node.
     pub(super) requested_at: Nanos,
     /// Since when the node's position has been ahead of the router's.
@@ -49,7 +70,10 @@
 #[derive(Debug)]
 pub(super) struct Connections {
     router_hash: u64,
+    location: Location,
     known_control_nodes: BTreeSet<NodeId>,
+    /// The zones of control nodes, as far as they are known.
+    zones: BTreeMap<NodeId, String>,
     by_node: BTreeMap<NodeId, Connection>,
     /// Control nodes that could not be reached, and until when others are preferred to them.
     unreachable_until: BTreeMap<NodeId, Nanos>,
@@ -57,10 +81,12 @@
 
 impl Connections {
     /// No connections yet, for the router with this address.
-    pub(super) fn new(router_address: &str, seeds: &[NodeId]) -> Self {
+    pub(super) fn new(router_address: &str, location: Location, seeds: &[NodeId]) -> Self {
         Self {
             router_hash: fnv1a_hash(router_address.as_bytes()),
+            location,
             known_control_nodes: seeds.iter().copied().collect(),
+            zones: BTreeMap::new(),
             by_node: BTreeMap::new(),
             unreachable_until: BTreeMap::new(),
         }
@@ -70,6 +96,24 @@
         self.known_control_nodes.extend(nodes);
     }
 
+    /// Adds control nodes with their zones.
+    pub(super) fn set_locations(&mut self, nodes: Vec<ControlNode>) {
+        for ControlNode { node, zone } in nodes {
+            self.known_control_nodes.insert(node);
+            if !zone.is_empty() {
+                self.zones.insert(node, zone);
+            }
+        }
+    }
+
+    pub(super) fn distance(&self, node: NodeId) -> Distance {
+        match self.zones.get(&node) {
+            Some(zone) if *zone == self.location.zone => Distance::SameZone,
+            Some(zone) if self.location.region_zones.contains(zone) => Distance::SameRegion,
+            _ => Distance::Elsewhere,
+        }
+    }
+
     pub(super) fn is_empty(&self) -> bool {
         self.by_node.is_empty()
     }
@@ -121,7 +165,7 @@
     /// Selects the control nodes to be connected to anew. Returns them where they have changed.
     pub(super) fn reselect(&mut self, now: Nanos) -> Option<Vec<NodeId>> {
         self.update_backoff(now);
-        let selected: BTreeSet<NodeId> = self.preferred().into_iter().take(MAX_CONNECTIONS).collect();
+        let selected = self.selection();
         if selected.iter().eq(self.by_node.keys()) {
             return None;
         }
@@ -138,6 +182,27 @@
         self.unreachable_until.retain(|_, until| now < *until);
     }
 
+    /// The control nodes to be connected to: the most preferred ones of the router's zone and of the other zones of its region, and
+    /// beyond these the most preferred ones elsewhere, which a partition of the region does not reach.
+    fn selection(&self) -> BTreeSet<NodeId> {
+        let preferred = self.preferred();
+        let is_available = |node: &&NodeId| !self.unreachable_until.contains_key(*node);
+        let nearest = |distance| {
+            let mut available = preferred.iter().filter(is_available);
+            available.find(|node| self.distance(**node) == distance).copied()
+        };
+        let near = [Distance::SameZone, Distance::SameRegion].into_iter().filter_map(nearest);
+        let mut selected: BTreeSet<NodeId> = near.collect();
+        let elsewhere = preferred.iter().filter(is_available);
+        let elsewhere = elsewhere.filter(|node| self.distance(**node) == Distance::Elsewhere);
+        for node in elsewhere.chain(&preferred) {
+            if selected.len() < MAX_CONNECTIONS {
+                selected.insert(*node);
+            }
+        }
+        selected
+    }
+
     /// All known control nodes, the most preferred first. Each router has an order of its own, so that routers are spread over the
     /// control nodes. Where all are in back-off the one whose attempt is longest ago comes first: a network partition may have
     /// healed.
--- a/routing/src/watch_client/mod.rs
+++ b/routing/src/watch_client/mod.rs
@@ -14,6 +14,8 @@
 mod replicated_state;
 mod router_share_tracker;
 
+use std::collections::BTreeSet;
+
 use ivyhatch_protocol::configuration::{Change, Document};
 use ivyhatch_protocol::ids::NodeId;
 use ivyhatch_protocol::server_list::ServerList;
@@ -21,7 +23,7 @@
 use ivyhatch_protocol::{MILLISECOND, Nanos};
 
 use crate::router_share::RouterShare;
-use connections::{Connections, HEARTBEAT_INTERVAL};
+use connections::{Connections, HEARTBEAT_INTERVAL, Location};
 use primary::Primary;
 use quorum_contact::QuorumContactMonitor;
 use replicated_state::{Applied, ReplicatedState};
@@ -96,12 +98,14 @@
 
 impl WatchClient {
     /// A watch that knows no control nodes but `seeds`, and has replicated nothing yet.
-    pub fn new(router: Router, seeds: &[NodeId], now: Nanos) -> Self {
+    /// `region_zones` are the zones of the router's region.
+    pub fn new(router: Router, region_zones: BTreeSet<String>, seeds: &[NodeId], now: Nanos) -> Self {
+        let location = Location { zone: router.zone.clone(), region_zones };
         Self {
             now,
             stall_recovery_until: 0,
             heartbeat_sent_at: 0,
-            connections: Connections::new(&router.client_address, seeds),
+            connections: Connections::new(&router.client_address, location, seeds),
             primary: Primary::default(),
             state: ReplicatedState::default(),
             router_share: RouterShareTracker::new(now),
@@ -133,10 +137,13 @@
         self.contact.current() == QuorumContact::Established
     }
 
-    /// The control node that is connected to with the shortest round trip.
+    /// The nearest control node that is connected to.
     pub fn nearest_control_node(&self) -> Option<NodeId> {
         let open = self.connections.open();
-        open.min_by_key(|(node, connection)| (connection.round_trip, *node)).map(|(node, _)| node)
+        let nearest = open.min_by_key(|(node, connection)| {
+            (self.connections.distance(*node), connection.round_trip, *node)
+        });
+        nearest.map(|(node, _)| node)
     }
 
     /// The sequence number of the configuration's last change; 0 while there is no configuration.
@@ -191,10 +198,10 @@
         match message {
             WatchResponse::Progress { position, has_quorum, router_count, router_index, control_nodes } => {
                 (connection.position, connection.has_quorum) = (position, has_quorum);
-                self.connections.add_known(control_nodes);
                 let reported = RouterShare { count: router_count, index: router_index };
-                let changed = self.router_share.observe(reported, self.now);
-                outputs.extend(changed.map(Output::RouterShare));
+                connection.router_share = reported;
+                self.connections.add_known(control_nodes);
+                self.observe_router_share(reported, outputs);
             }
             WatchResponse::Snapshot { sequence, document } => {
                 let change = self.state.apply_snapshot(sequence, document);
@@ -209,12 +216,26 @@
                 report_servers(applied, outputs);
             }
             WatchResponse::ServerList(update) => {
-                let applied = self.state.apply_server_list(self.now, update);
+                let applied = self.state.apply_server_list(self.now, update.into());
+                report_servers(applied, outputs);
+            }
+            WatchResponse::ServerListChange(change) => {
+                let applied = self.state.apply_server_list(self.now, change.into_inner());
                 report_servers(applied, outputs);
             }
+            WatchResponse::Alive => {
+                let reported = connection.router_share;
+                self.observe_router_share(reported, outputs);
+            }
+            WatchResponse::ControlNodes(nodes) => self.connections.set_locations(nodes),
         }
     }
 
+    fn observe_router_share(&mut self, reported: RouterShare, outputs: &mut Vec<Output>) {
+        let changed = self.router_share.observe(reported, self.now);
+        outputs.extend(changed.map(Output::RouterShare));
+    }
+
     fn report_configuration(&self, change: Option<Change>, outputs: &mut Vec<Output>) {
         let Some(change) = change else { return };
         let (revision, sequence) = (self.state.document().revision, self.state.sequence());
@@ -233,7 +254,7 @@
         let subscription = WatchRequest::Subscribe {
             router: self.router.clone(),
             primary: self.primary.is(node),
-            position: self.state.position(),
+            position: self.state.position().with_extensions_mark(),
         };
         outputs.push(Output::Send(node, subscription));
     }
--- a/routing/src/watch_client/primary.rs
+++ b/routing/src/watch_client/primary.rs
@@ -27,15 +27,21 @@
     }
 
     /// Replaces a primary node that has fallen silent or has lost its quorum by the nearest one that has not. A primary node that
-    /// is good enough is kept though a nearer one appears, and the last one is kept where all connections are lost.
+    /// is good enough is kept though one with a shorter round trip appears, unless that one is in a nearer place; the last one is kept
+    /// where all connections are lost.
     pub(super) fn reselect(&mut self, connections: &Connections, now: Nanos) -> Option<PrimaryChange> {
         let current = self.node.and_then(|node| connections.get(node));
-        if current.is_some_and(|connection| is_responsive(connection, now) && connection.has_quorum) {
-            return None;
-        }
+        let is_good = |connection: &Connection| is_responsive(connection, now) && connection.has_quorum;
         let candidates = connections.open().filter(|(_, connection)| is_responsive(connection, now));
-        let (best, _) =
-            candidates.min_by_key(|(_, connection)| (!connection.has_quorum, connection.round_trip))?;
+        let (best, connection) = candidates.min_by_key(|(node, connection)| {
+            (!connection.has_quorum, connections.distance(*node), connection.round_trip)
+        })?;
+        if let Some(node) = self.node.filter(|_| current.is_some_and(is_good)) {
+            let is_nearer = connections.distance(best) < connections.distance(node);
+            if !is_nearer || !is_good(connection) {
+                return None;
+            }
+        }
         let previous = self.node.replace(best);
         (previous != Some(best)).then_some(PrimaryChange { previous, current: best })
     }
--- a/routing/src/watch_client/replicated_state.rs
+++ b/routing/src/watch_client/replicated_state.rs
@@ -7,7 +7,7 @@
 use ivyhatch_protocol::configuration::{Change, Document};
 use ivyhatch_protocol::ids::PartitionId;
 use ivyhatch_protocol::server_list::{ListUpdateOutcome, ServerList};
-use ivyhatch_protocol::watch::{EvacuationUpdate, Position, ServerListUpdate, Shared};
+use ivyhatch_protocol::watch::{EvacuationUpdate, Position, ServerListChange, Shared};
 
 /// Whether an update has changed the state.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -108,10 +108,10 @@
         Applied::Changed
     }
 
-    /// Applies an update of the server list. One that does not follow on the list that is known is ignored: its position shows
+    /// Applies a change of the server list. One that does not follow on the list that is known is ignored: its position shows
     /// that this one is behind, so that the complete list is fetched.
-    pub(super) fn apply_server_list(&mut self, now: Nanos, update: ServerListUpdate) -> Applied {
-        match self.server_list.apply_update(now, update) {
+    pub(super) fn apply_server_list(&mut self, now: Nanos, change: ServerListChange) -> Applied {
+        match self.server_list.apply_change(now, change) {
             ListUpdateOutcome::Applied => Applied::Changed,
             ListUpdateOutcome::Stale | ListUpdateOutcome::Gap => Applied::Ignored,
         }
--- a/routing/tests/watch_client.rs
+++ b/routing/tests/watch_client.rs
@@ -1,11 +1,13 @@
 //! Which control nodes a router connects to and what it replicates from them, one message at a time.
 
+use std::collections::BTreeSet;
+
 use googletest::prelude::*;
 use ivyhatch_protocol::configuration::{Document, Item};
 use ivyhatch_protocol::ids::{Ballot, NodeId, PartitionId};
 use ivyhatch_protocol::watch::{
-    EvacuationPosition, EvacuationUpdate, Position, Router, RouterState, Server, ServerListPosition,
-    ServerListUpdate, WatchRequest, WatchResponse, ZoneEvacuation,
+    ControlNode, EvacuationPosition, EvacuationUpdate, Position, Router, RouterState, Server,
+    ServerListChange, ServerListPosition, ServerListUpdate, WatchRequest, WatchResponse, ZoneEvacuation,
 };
 use ivyhatch_protocol::{MILLISECOND, Nanos, SECOND};
 use ivyhatch_routing::watch_client::{EvacuationState, Input, Output, QuorumContact, WatchClient};
@@ -33,6 +35,17 @@
     }
 }
 
+/// The zones of the router's region; its own one is `a`.
+fn region_zones() -> BTreeSet<String> {
+    BTreeSet::from(["a".to_owned(), "b".to_owned()])
+}
+
+fn control_nodes(zones: &[(u32, &str)]) -> WatchResponse {
+    let control_node =
+        |(node, zone): &(u32, &str)| ControlNode { node: NodeId(*node), zone: (*zone).to_owned() };
+    WatchResponse::ControlNodes(zones.iter().map(control_node).collect())
+}
+
 fn nodes(count: u32) -> Vec<NodeId> {
     (1..=count).map(NodeId).collect()
 }
@@ -88,7 +101,7 @@
 impl Harness {
     /// A client that knows this many control nodes, after one tick.
     fn new(count: u32) -> Self {
-        let client = WatchClient::new(router(), &nodes(count), START);
+        let client = WatchClient::new(router(), region_zones(), &nodes(count), START);
         let mut harness = Self { client, now: START, connections: Vec::new(), reporting_nodes: Vec::new() };
         harness.handle(Input::Tick);
         harness
@@ -192,7 +205,8 @@
     let mut chosen = std::collections::BTreeSet::new();
     for number in 0..30 {
         let router = Router { client_address: format!("10.0.0.{number}:8000"), ..router() };
-        let (mut client, mut outputs) = (WatchClient::new(router, &nodes(9), START), Vec::new());
+        let (mut client, mut outputs) =
+            (WatchClient::new(router, region_zones(), &nodes(9), START), Vec::new());
         client.handle(START, Input::Tick, &mut outputs);
         for output in outputs {
             if let Output::SetConnections(to) = output {
@@ -623,7 +637,7 @@
 
 #[gtest]
 fn late_first_input_is_no_stall() {
-    let mut client = WatchClient::new(router(), &nodes(3), START);
+    let mut client = WatchClient::new(router(), region_zones(), &nodes(3), START);
     let mut outputs = Vec::new();
     client.handle(START + 10 * SECOND, Input::Tick, &mut outputs);
     expect_that!(
@@ -632,3 +646,81 @@
         "nothing can have been queued"
     );
 }
+
+#[gtest]
+fn control_nodes_of_the_own_zone_and_region_are_connected_to() {
+    let zones = [(1, "e"), (2, "d"), (3, "c"), (4, "b"), (5, "a"), (6, "f")];
+    let mut harness = Harness::new(3);
+    harness.handle(Input::Connected { node: NodeId(1), round_trip: MILLISECOND });
+    harness.receive(1, control_nodes(&zones));
+    expect_that!(harness.connections, contains(eq(&NodeId(5))));
+    expect_that!(harness.connections, contains(eq(&NodeId(4))));
+    expect_that!(harness.connections, len(eq(3)));
+    // Where none of the zone can be reached, another one takes its place.
+    for _ in 0..30 {
+        harness.handle(Input::Disconnected(NodeId(5)));
+        harness.advance(TICK);
+    }
+    expect_that!(harness.connections, not(contains(eq(&NodeId(5)))));
+    expect_that!(harness.connections, contains(eq(&NodeId(4))));
+    expect_that!(harness.connections, len(eq(3)));
+}
+
+#[gtest]
+fn primary_moves_to_a_nearer_place_and_the_load_goes_there() {
+    let mut harness = Harness::connected();
+    let outputs = harness.receive(1, control_nodes(&[(1, "d"), (2, "e"), (3, "a")]));
+    expect_that!(subscriptions(&outputs), contains(eq(&(NodeId(3), true))));
+    expect_that!(harness.client.nearest_control_node(), some(eq(NodeId(3))));
+    // A node without a quorum is no better for being near.
+    let mut harness = Harness::connected();
+    harness.set_report(3, Some((Position::default(), false)));
+    harness.advance(TICK);
+    let outputs = harness.receive(1, control_nodes(&[(1, "d"), (2, "e"), (3, "a")]));
+    expect_that!(subscriptions(&outputs), is_empty());
+}
+
+#[gtest]
+fn alive_message_keeps_the_control_node_and_the_share_that_it_has_reported() {
+    let mut harness = Harness::connected();
+    harness.receive(1, progress(Position::default(), true, 4));
+    (1..=3).for_each(|node| harness.set_report(node, None));
+    let mut outputs = Vec::new();
+    for _ in 0..50 {
+        (1..=3).for_each(|node| outputs.extend(harness.receive(node, WatchResponse::Alive)));
+        outputs.extend(harness.advance(TICK));
+    }
+    expect_that!(subscriptions(&outputs), is_empty());
+    expect_true!(harness.client.control_plane_reachable());
+    expect_that!(router_counts(&outputs), is_empty());
+}
+
+#[gtest]
+fn subscriptions_are_marked_for_the_later_variants() {
+    let mut harness = Harness::new(1);
+    let outputs = harness.handle(Input::Connected { node: NodeId(1), round_trip: MILLISECOND });
+    let is_marked = |output: &Output| match output {
+        Output::Send(_, WatchRequest::Subscribe { position, .. }) => position.clone().take_extensions_mark(),
+        _ => false,
+    };
+    expect_true!(outputs.iter().any(is_marked));
+    let mut unmarked = Position::default();
+    expect_false!(unmarked.take_extensions_mark());
+}
+
+#[gtest]
+fn list_of_the_next_reader_follows_on_the_one_before() {
+    let mut harness = Harness::connected();
+    harness.receive(1, server_list_update(2, None, 7, &["i-1", "i-2"]));
+    let change = ServerListChange {
+        base: Some(ServerListPosition { ballot: ballot(2), number: 7 }),
+        position: ServerListPosition { ballot: ballot(3), number: 1 },
+        upsert: vec![server("i-3")],
+        removed: vec!["i-1".to_owned()],
+    };
+    let outputs = harness.receive(1, WatchResponse::ServerListChange(change.into()));
+    expect_that!(outputs, contains(eq(&Output::ServersChanged)));
+    let ids: Vec<String> =
+        harness.client.server_list().servers(harness.now).map(|server| server.id).collect();
+    expect_that!(ids, elements_are![eq("i-2"), eq("i-3")]);
+}
--- a/simulation/src/run/describe.rs
+++ b/simulation/src/run/describe.rs
@@ -2,7 +2,7 @@
 
 use ivyhatch_protocol::peer::{ConsensusMessage, Heartbeat, PeerMessage};
 use ivyhatch_protocol::registers::StateUpdate;
-use ivyhatch_protocol::watch::WatchResponse;
+use ivyhatch_protocol::watch::{ServerListChange, WatchResponse};
 
 /// A message between control nodes.
 pub(super) fn peer_message(message: &PeerMessage) -> String {
@@ -32,7 +32,12 @@
         }
         PeerMessage::RouterSessions(_) => "router sessions".to_owned(),
         PeerMessage::ServerList(update) => format!("server list {} {}", update.ballot, update.to),
-        PeerMessage::ServerListRequest => "server list request".to_owned(),
+        PeerMessage::ServerListChange(change) => server_list_change(change),
+        PeerMessage::ServerListRequest | PeerMessage::ServerListFetch(_) => "server list request".to_owned(),
+        PeerMessage::RouterChanges(changes) => {
+            format!("router changes {} and {}", changes.upsert.len(), changes.removed.len())
+        }
+        PeerMessage::RouterSessionsRequest => "router sessions request".to_owned(),
     }
 }
 
@@ -66,5 +71,13 @@
             format!("evacuations partition {partition} {sequence} {:?}", evacuations.zones)
         }
         WatchResponse::ServerList(update) => format!("server list {} {}", update.ballot, update.to),
+        WatchResponse::ServerListChange(change) => server_list_change(change),
+        WatchResponse::Alive => "alive".to_owned(),
+        WatchResponse::ControlNodes(nodes) => format!("{} control nodes", nodes.len()),
     }
 }
+
+fn server_list_change(change: &ServerListChange) -> String {
+    let ServerListChange { base, position, .. } = change;
+    format!("server list {base:?} to {} {}", position.ballot, position.number)
+}
--- a/simulation/src/run/routers.rs
+++ b/simulation/src/run/routers.rs
@@ -116,7 +116,8 @@
         let this = &mut self.routers[router];
         this.incarnation += 1;
         this.last_fault_at = self.now;
-        this.watch_client = Some(WatchClient::new(info, &seeds, self.now));
+        let region_zones = (0..ZONE_COUNT).map(zone_name).collect();
+        this.watch_client = Some(WatchClient::new(info, region_zones, &seeds, self.now));
         this.observed_sequence = 0;
         this.wanted_machines.clear();
         this.sessions.clear();
--- a/system/src/control/mod.rs
+++ b/system/src/control/mod.rs
@@ -6,6 +6,7 @@
 mod directory_api;
 mod host;
 mod instance_list_reader;
+mod load_topology;
 mod node_config;
 mod peers;
 mod status;
@@ -17,7 +18,7 @@
 
 use ivyhatch_control::server_list::reader::ReadId;
 use ivyhatch_control::storage::durable_state::DurableState;
-use ivyhatch_control::{ControlPlane, Input, WriteToken};
+use ivyhatch_control::{Input, WriteToken};
 use ivyhatch_protocol::settings::Settings;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
@@ -32,6 +33,7 @@
 use crate::transport::socket;
 use crate::{http_server, ticker};
 use host::{Host, HostParts};
+use load_topology::Topology;
 
 /// The role's listening sockets.
 struct Listeners {
@@ -75,9 +77,7 @@
     spawn_local(instance_list_reader::run_reads(host.clone(), requested_list_reads));
     spawn_servers(&host, listeners);
     if let Some(socket) = load_socket {
-        let sharing = host.clone();
-        let peers = move || sharing.query(ControlPlane::reachable_peers);
-        spawn_local(load_exchange::run_control(socket, clock, peers));
+        spawn_local(load_exchange::run_control(socket, clock, Topology::new(host.clone())));
     }
     let ticking = host.clone();
     spawn_local(ticker::run_ticks(move || {
--- a/system/src/control/watch_sessions.rs
+++ b/system/src/control/watch_sessions.rs
@@ -43,6 +43,10 @@
             WatchResponse::Snapshot { .. } | WatchResponse::Change { .. } => {
                 writer.send_bulk(&self.frame_cache.borrow_mut().fragments(message))
             }
+            WatchResponse::ServerListChange(_) => {
+                let frame = self.frame_cache.borrow_mut().frame(message);
+                frame.is_none_or(|frame| writer.send_frame(frame))
+            }
             _ => writer.send(message),
         }
     }
--- a/system/src/lib.rs
+++ b/system/src/lib.rs
@@ -20,6 +20,7 @@
 mod load_exchange;
 mod logging;
 mod outgoing;
+mod regions;
 mod router;
 mod settings_reload;
 mod ticker;
--- a/system/src/load_exchange.rs
+++ b/system/src/load_exchange.rs
@@ -6,7 +6,7 @@
 use std::cell::RefCell;
 use std::net::{SocketAddr, SocketAddrV4};
 
-use ivyhatch_control::load_aggregator::LoadAggregator;
+use ivyhatch_control::load_exchange::{LoadExchange, LoadTopology};
 use ivyhatch_protocol::ids::NodeId;
 use ivyhatch_protocol::load_exchange::{LoadDatagram, ServerLoad};
 use ivyhatch_protocol::settings::Settings;
@@ -96,42 +96,39 @@
         }
     });
     let receive = async {
+        let mut remote_loads = Vec::new();
         loop {
-            if let (LoadDatagram::Summary(loads), _) = socket.receive().await {
-                on_summary(loads);
+            match socket.receive().await {
+                (LoadDatagram::Summary(mut loads), _) => {
+                    loads.extend_from_slice(&remote_loads);
+                    on_summary(loads);
+                }
+                (LoadDatagram::RemoteSummary(loads), _) => remote_loads = loads,
+                _ => {}
             }
         }
     };
     tokio::join!(report, receive);
 }
 
-/// Runs a control node's part; never returns. `peers` are the other control nodes that can be reached.
-pub async fn run_control(socket: LoadSocket, clock: Clock, peers: impl Fn() -> Vec<NodeId>) {
-    let aggregator = RefCell::new(LoadAggregator::default());
-    let exchange = ticker::run_ticks(|| {
-        let sum = aggregator.borrow_mut().local_sum(clock.now());
-        let datagram = LoadDatagram::Exchange(sum).encode();
-        for node in peers() {
-            socket.send(&datagram, socket.control_address(node));
+/// Runs a control node's part; never returns.
+pub async fn run_control(socket: LoadSocket, clock: Clock, topology: impl LoadTopology) {
+    let exchange = RefCell::new(LoadExchange::new(topology));
+    let send = ticker::run_ticks(|| {
+        for (node, datagram) in exchange.borrow_mut().exchanges(clock.now()) {
+            socket.send(&datagram.encode(), socket.control_address(node));
         }
     });
     let receive = async {
         loop {
             let (datagram, from) = socket.receive().await;
-            let (now, node) = (clock.now(), NodeId::from(*from.ip()));
-            match datagram {
-                LoadDatagram::Report(loads) => {
-                    let others = aggregator.borrow_mut().record_report(now, node, loads);
-                    socket.send(&LoadDatagram::Summary(others).encode(), from);
-                }
-                LoadDatagram::Exchange(loads) => {
-                    aggregator.borrow_mut().record_exchange(now, node, loads);
-                }
-                LoadDatagram::Summary(_) => {}
+            let answers = exchange.borrow_mut().receive(clock.now(), NodeId::from(*from.ip()), datagram);
+            for answer in answers {
+                socket.send(&answer.encode(), from);
             }
         }
     };
-    tokio::join!(exchange, receive);
+    tokio::join!(send, receive);
 }
 
 #[cfg(test)]
--- a/system/src/load_exchange_tests.rs
+++ b/system/src/load_exchange_tests.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use googletest::prelude::*;
+use ivyhatch_control::load_exchange::{LoadTopology, PeerLocation, RegionIndex};
 use ivyhatch_protocol::load_exchange::{LoadDatagram, ServerLoad};
 use ivyhatch_protocol::settings::Settings;
 use tokio::net::UdpSocket;
@@ -24,6 +25,23 @@
     Settings::from_text(&text, "node.json").expect("settings")
 }
 
+/// A deployment of one region, whose servers are not known.
+struct OneRegion;
+
+impl LoadTopology for OneRegion {
+    fn own_region(&self) -> RegionIndex {
+        RegionIndex(0)
+    }
+
+    fn peers(&self) -> Vec<PeerLocation> {
+        Vec::new()
+    }
+
+    fn server_region(&self, _server: u32) -> Option<RegionIndex> {
+        None
+    }
+}
+
 /// A router's socket at its own address.
 async fn router(last: u8) -> UdpSocket {
     UdpSocket::bind((Ipv4Addr::new(127, 44, 1, last), 0)).await.expect("a socket")
@@ -33,6 +51,11 @@
 async fn report(router: &UdpSocket, loads: Vec<ServerLoad>) -> Option<LoadDatagram> {
     let datagram = LoadDatagram::Report(loads).encode();
     router.send_to(&datagram, (CONTROL, FIRST_PORT + 2)).await.expect("it is sent");
+    receive(router).await
+}
+
+/// The next datagram to a router.
+async fn receive(router: &UdpSocket) -> Option<LoadDatagram> {
     let mut buffer = [0; 2048];
     let length = timeout(Duration::from_secs(10), router.recv(&mut buffer)).await.expect("an answer").ok()?;
     LoadDatagram::decode(&buffer[..length])
@@ -43,11 +66,13 @@
 async fn router_is_answered_with_what_the_others_have() {
     let exchange = async {
         let socket = LoadSocket::bind_control(&settings(FIRST_PORT + 3)).await.expect("a socket");
-        spawn_local(run_control(socket, Clock::start(), Vec::new));
+        spawn_local(run_control(socket, Clock::start(), OneRegion));
         let (one, other) = (router(1).await, router(2).await);
         let load = ServerLoad::new(7, 6400, 2);
-        expect_that!(report(&one, vec![load]).await, some(eq(&LoadDatagram::Summary(vec![]))));
-        expect_that!(report(&other, vec![]).await, some(eq(&LoadDatagram::Summary(vec![load]))));
+        expect_that!(report(&one, vec![load]).await, some(eq(&LoadDatagram::RemoteSummary(vec![]))));
+        expect_that!(receive(&one).await, some(eq(&LoadDatagram::Summary(vec![]))));
+        expect_that!(report(&other, vec![]).await, some(eq(&LoadDatagram::RemoteSummary(vec![]))));
+        expect_that!(receive(&other).await, some(eq(&LoadDatagram::Summary(vec![load]))));
         one.send_to(b"no datagram of this format", (CONTROL, FIRST_PORT + 2)).await.expect("it is sent");
         expect_that!(report(&one, vec![]).await, some(eq(&LoadDatagram::Summary(vec![]))));
     };
--- a/system/src/router/dispatch/regions.rs
+++ b/system/src/regions.rs
@@ -10,12 +10,12 @@
 pub struct Regions {
     names: Vec<String>,
     by_zone: BTreeMap<String, String>,
-    /// The index of this router's region.
+    /// The index of this machine's region.
     pub home: u32,
 }
 
 impl Regions {
-    /// The regions of all zones, and this router's own.
+    /// The regions of all zones, and this machine's own.
     pub fn new(settings: &Settings) -> Self {
         let names: BTreeSet<String> =
             settings.zones.values().cloned().chain([settings.region.clone()]).collect();
--- a/system/src/router/dispatch/mod.rs
+++ b/system/src/router/dispatch/mod.rs
@@ -8,7 +8,6 @@
 
 mod balancer_actions;
 mod pending_request;
-mod regions;
 mod requests;
 mod responses;
 mod server_list;
--- a/system/src/router/dispatch/state.rs
+++ b/system/src/router/dispatch/state.rs
@@ -11,9 +11,9 @@
 use ivyhatch_routing::router_share::RouterShare;
 
 use super::pending_request::PendingRequest;
-use super::regions::Regions;
 use super::service::Service;
 use crate::clock::Clock;
+use crate::regions::Regions;
 use crate::router::attempt::{AttemptId, AttemptSpec, ServerKey, ServiceId};
 
 /// Servers are treated as warming up for this much longer than the list says: the list's own delay and its way here.
--- a/system/src/router/watch_session.rs
+++ b/system/src/router/watch_session.rs
@@ -54,9 +54,13 @@
     /// Connects to the control nodes that the settings name, and begins to watch.
     pub fn start(settings: &Settings, clock: Clock, router: Router, dispatcher: Dispatcher) -> Self {
         let (changes, received_changes) = unbounded_channel();
+        let zones_and_regions = settings.zones.iter();
+        let in_region = zones_and_regions.filter(|(_, region)| **region == settings.region);
+        let region_zones = in_region.map(|(zone, _)| zone.clone()).collect();
+        let watch_client = WatchClient::new(router, region_zones, &settings.seed_nodes(), clock.now());
         let port = settings.peer_ports.0 + WATCH_PORT_OFFSET;
         let host = Rc::new(Host {
-            watch_client: RefCell::new(WatchClient::new(router, &settings.seed_nodes(), clock.now())),
+            watch_client: RefCell::new(watch_client),
             clock,
             connections: Rc::new(OutgoingConnections::new(clock, settings.ip, port)),
             dispatcher,
--- a/system/src/transport/frame_cache.rs
+++ b/system/src/transport/frame_cache.rs
@@ -15,7 +15,7 @@
 /// The fragments of one message, each an encoded frame.
 pub type Fragments = Rc<[Rc<Vec<u8>>]>;
 
-/// Fragments of the messages that were encoded last, oldest first.
+/// The frames of the messages that were encoded last, oldest first.
 #[derive(Default)]
 pub struct FrameCache {
     entries: VecDeque<(WatchResponse, Fragments)>,
@@ -24,11 +24,24 @@
 impl FrameCache {
     /// The fragments of a message, encoded unless they are cached.
     pub fn fragments(&mut self, message: &WatchResponse) -> Fragments {
+        self.cached_or(message, frame::encode_fragments)
+    }
+
+    /// The message as one frame, encoded unless it is cached.
+    pub fn frame(&mut self, message: &WatchResponse) -> Option<Rc<Vec<u8>>> {
+        self.cached_or(message, |message| vec![frame::encode(message)]).first().cloned()
+    }
+
+    fn cached_or(
+        &mut self,
+        message: &WatchResponse,
+        encode: impl FnOnce(&WatchResponse) -> Vec<Vec<u8>>,
+    ) -> Fragments {
         let cached = self.entries.iter().find(|(cached, _)| shares_content(cached, message));
         if let Some((_, fragments)) = cached {
             return fragments.clone();
         }
-        let fragments: Fragments = frame::encode_fragments(message).into_iter().map(Rc::new).collect();
+        let fragments: Fragments = encode(message).into_iter().map(Rc::new).collect();
         self.entries.push_back((message.clone(), fragments.clone()));
         if self.entries.len() > CACHED_MESSAGES {
             self.entries.pop_front();
@@ -49,6 +62,9 @@
             WatchResponse::Change { from, to, change },
             WatchResponse::Change { from: other_from, to: other_to, change: other_change },
         ) => (from, to) == (other_from, other_to) && change.ptr_eq(other_change),
+        (WatchResponse::ServerListChange(change), WatchResponse::ServerListChange(other)) => {
+            change.ptr_eq(other)
+        }
         _ => false,
     }
 }
