--- a/control/src/load_exchange.rs
+++ b/control/src/load_exchange.rs
@@ -40,7 +40,7 @@
 pub struct LoadExchange<T> {
     topology: T,
     aggregator: LoadAggregator,
-    /// When each router was last told of other regions' servers.
+    /// When the last [`LoadDatagram::RemoteSummary`] was sent to each router.
     remote_summary_sent_at: BTreeMap<NodeId, Nanos>,
     remote_exchange_sent_at: Option<Nanos>,
     /// Control nodes of other regions whose last exchange held loads.
--- a/control/src/membership/reconfiguration.rs
+++ b/control/src/membership/reconfiguration.rs
@@ -12,6 +12,8 @@
 pub const BOOTSTRAP_DELAY: Nanos = 1500 * MILLISECOND;
 /// A voter that no other voter could reach for this long gives its seat to a successor in its zone, if there is one.
 const REPLACEMENT_TIMEOUT: Nanos = 2 * SECOND;
+/// The same for a successor in another zone. Longer than any partition that heals by itself.
+const LOSS_TIMEOUT: Nanos = 90 * SECOND;
 
 /// The first membership, on the very first start of the whole system: the lowest of the seeds creates it, once it can reach all seeds.
 /// All nodes with a disk that it can reach are voters.
@@ -70,8 +72,12 @@
         .voter_nodes()
         .filter_map(|other| view.current_heartbeat(other))
         .any(|heartbeat| heartbeat.reachable.contains(&node));
-    let timed_out = view.now >= view.peers.silent_since(node) + REPLACEMENT_TIMEOUT;
-    if timed_out && !is_reachable_from_other { VoterHealth::Unreachable } else { VoterHealth::Healthy }
+    let silence = view.now.saturating_sub(view.peers.silent_since(node));
+    match silence {
+        _ if is_reachable_from_other || silence < REPLACEMENT_TIMEOUT => VoterHealth::Healthy,
+        LOSS_TIMEOUT.. => VoterHealth::Lost,
+        _ => VoterHealth::Unreachable,
+    }
 }
 
 /// Whether the cluster still needs a replica that is draining: the others have no quorum without it, a candidate could take its seat,
--- a/control/src/membership/rules.rs
+++ b/control/src/membership/rules.rs
@@ -24,8 +24,11 @@
     Healthy,
     /// It is reachable, and is shutting down.
     Draining,
-    /// Neither the leader nor any voter that the leader can reach has been able to reach it for long.
+    /// Neither the leader nor any voter that the leader can reach has been able to reach it for some time: a replacement in its zone
+    /// takes its seat.
     Unreachable,
+    /// The same for so long that a replacement in another zone takes its seat.
+    Lost,
 }
 
 /// A replica without a seat that could take one.
@@ -37,25 +40,53 @@
     pub zone: String,
 }
 
-/// The next membership, where a voter's seat should go to a candidate.
+/// The next membership, where a voter's seat should go to a candidate. In this order:
 ///
-/// A machine that comes back with an empty disk takes the seat of its former disk at once. A candidate on another machine takes the
-/// seat of a voter of its zone that is draining or unreachable: a platform starts a control node beside a running one only to
-/// replace it, and a voter that is merely partitioned has no successor.
+/// 1. A machine that comes back with an empty disk takes the seat of its former disk at once.
+/// 2. A candidate on another machine takes the seat of a voter of its zone that is draining or unreachable: a platform starts a control
+///    node beside a running one only to replace it, and a voter that is merely partitioned has no successor in its zone.
+/// 3. A candidate in a zone without a voter takes a seat of a zone that has several, so that the loss of a zone costs few seats.
+/// 4. A candidate takes the seat of a voter of another zone that is lost, where that zone has no candidate. It goes back by rule 3 when
+///    the zone has a control node again.
 pub fn next_membership(
     membership: &Membership,
     candidates: &[Candidate],
     health: impl Fn(&Voter) -> VoterHealth,
 ) -> Option<Membership> {
-    let seat = |candidate: &Candidate| {
+    let replaced_by = |candidate: &Candidate| {
+        let voters = &membership.voters;
         let same_machine = |voter: &&Voter| voter.replica.node == candidate.replica.node;
         let replaceable =
             |voter: &&Voter| voter.zone == candidate.zone && health(voter) != VoterHealth::Healthy;
-        let voters = &membership.voters;
         voters.iter().find(same_machine).or_else(|| voters.iter().find(replaceable))
     };
-    candidates.iter().find_map(|candidate| {
-        let voter = seat(candidate)?;
-        Some(membership.with_replacement(voter.replica, candidate.replica, &candidate.zone))
-    })
+    let lost_elsewhere = || {
+        let has_candidate = |zone: &str| candidates.iter().any(|candidate| candidate.zone == zone);
+        let mut voters = membership.voters.iter();
+        voters.find(|voter| health(voter) == VoterHealth::Lost && !has_candidate(&voter.zone))
+    };
+    let by_machine_or_zone =
+        candidates.iter().find_map(|candidate| Some((candidate, replaced_by(candidate)?)));
+    let by_balance = || {
+        candidates
+            .iter()
+            .find_map(|candidate| Some((candidate, surplus_voter(membership, candidate, &health)?)))
+    };
+    let by_loss = || Some((candidates.first()?, lost_elsewhere()?));
+    let (candidate, voter) = by_machine_or_zone.or_else(by_balance).or_else(by_loss)?;
+    Some(membership.with_replacement(voter.replica, candidate.replica, &candidate.zone))
+}
+
+/// A voter of a zone that has several, for a candidate whose zone has none; one that is not healthy before others.
+fn surplus_voter<'a>(
+    membership: &'a Membership,
+    candidate: &Candidate,
+    health: impl Fn(&Voter) -> VoterHealth,
+) -> Option<&'a Voter> {
+    let voters_in = |zone: &str| membership.voters.iter().filter(|voter| voter.zone == zone).count();
+    if voters_in(&candidate.zone) > 0 {
+        return None;
+    }
+    let surplus = membership.voters.iter().filter(|voter| voters_in(&voter.zone) > 1);
+    surplus.min_by_key(|voter| health(voter) == VoterHealth::Healthy)
 }
--- a/control/tests/load_exchange.rs
+++ b/control/tests/load_exchange.rs
@@ -64,7 +64,7 @@
 }
 
 #[gtest]
-fn far_control_node_is_told_once_that_its_servers_have_no_load_any_more() {
+fn far_control_node_gets_one_empty_exchange_after_its_servers_had_load() {
     let mut exchange = LoadExchange::new(Topology);
     exchange.exchanges(START - 200 * MILLISECOND);
     exchange.receive(START, ROUTER, LoadDatagram::Report(vec![load(20)]));
--- a/control/tests/reconfiguration.rs
+++ b/control/tests/reconfiguration.rs
@@ -6,12 +6,13 @@
     DRAIN_TIMEOUT, heartbeat, membership, node_config, replica, sent_to, step, step_and_store, voter, zone,
 };
 use googletest::prelude::*;
+use ivyhatch_control::membership::rules::{Candidate, VoterHealth, next_membership};
 use ivyhatch_control::storage::durable_state::DurableState;
 use ivyhatch_control::{ControlPlane, Input, Output, Record};
 use ivyhatch_protocol::MILLISECOND;
 use ivyhatch_protocol::ids::{Ballot, NodeId, PartitionId, ReplicaId};
 use ivyhatch_protocol::peer::{
-    ConsensusMessage, Heartbeat, Membership, PeerMessage, ReplicaStatus, TransferredState,
+    ConsensusMessage, Heartbeat, Membership, PeerMessage, ReplicaStatus, TransferredState, Voter,
 };
 use ivyhatch_protocol::registers::{
     RegisterKey, RegisterWrite, StateUpdate, UpdateBase, Version, writes_digest,
@@ -404,3 +405,61 @@
     let is_request = |message: &&PeerMessage| matches!(message, PeerMessage::StateTransferRequest { .. });
     expect_that!(sent_to(&out, 1).into_iter().filter(|message| is_request(message)).count(), eq(1));
 }
+
+/// The health of voters that are not healthy, by node.
+fn health_of(unhealthy: &[(u32, VoterHealth)]) -> impl Fn(&Voter) -> VoterHealth + '_ {
+    |voter| {
+        let known = unhealthy.iter().find(|(node, _)| NodeId(*node) == voter.replica.node);
+        known.map_or(VoterHealth::Healthy, |(_, health)| *health)
+    }
+}
+
+fn candidate(node: u32, in_zone: u32) -> Candidate {
+    Candidate { replica: replica(node), zone: zone(in_zone) }
+}
+
+#[gtest]
+fn lost_voter_is_replaced_by_a_candidate_of_another_zone() {
+    let candidates = [candidate(SUCCESSOR, 2)];
+    let next = |health| next_membership(&membership(), &candidates, health_of(&[(3, health)]));
+    expect_that!(next(VoterHealth::Unreachable), none());
+    let expected = membership().with_replacement(replica(3), replica(SUCCESSOR), &zone(2));
+    expect_that!(next(VoterHealth::Lost), some(eq(&expected)));
+}
+
+#[gtest]
+fn candidate_of_the_own_zone_is_preferred_to_one_of_another() {
+    let candidates = [candidate(5, 2), candidate(SUCCESSOR, 3)];
+    let next = next_membership(&membership(), &candidates, health_of(&[(3, VoterHealth::Lost)]));
+    expect_that!(next, some(eq(&replaced())));
+}
+
+#[gtest]
+fn seat_goes_back_to_a_zone_without_a_voter() {
+    let moved = membership().with_replacement(replica(3), replica(SUCCESSOR), &zone(2));
+    let candidates = [candidate(6, 3)];
+    let next = next_membership(&moved, &candidates, health_of(&[])).expect("a membership");
+    let zones: Vec<&str> = next.voters.iter().map(|voter| voter.zone.as_str()).collect();
+    expect_that!(zones, unordered_elements_are![eq(&zone(1)), eq(&zone(2)), eq(&zone(3))]);
+    // Of the two voters of the crowded zone the one that is not healthy loses its seat.
+    let next = next_membership(&moved, &candidates, health_of(&[(2, VoterHealth::Unreachable)]));
+    let next = next.expect("a membership");
+    expect_that!(next.voter(replica(2)), none());
+    expect_that!(next.voter(replica(SUCCESSOR)), some(anything()));
+    // A further candidate of a zone that has a voter changes nothing.
+    expect_that!(next_membership(&membership(), &[candidate(6, 3)], health_of(&[])), none());
+}
+
+#[gtest]
+fn voter_is_lost_after_ninety_seconds_of_silence() {
+    let mut node = voter(1, membership());
+    let mut replaced_after = None;
+    for at_ms in (100..=95_000).step_by(100) {
+        let received = [without(3, heartbeat(2, at_ms)), learner(SUCCESSOR, 2, at_ms)];
+        let out = step_and_store(&mut node, at_ms, &received.map(heartbeat_message));
+        if proposed(&mut node, at_ms, &out).is_some() {
+            replaced_after.get_or_insert(at_ms);
+        }
+    }
+    expect_that!(replaced_after, some(all!(ge(90_000), le(90_300))));
+}
--- a/experiments/src/lib.rs
+++ b/experiments/src/lib.rs
@@ -13,6 +13,7 @@
 //! | `hunt` | looks for worlds in which the balancer does worst, and shrinks them |
 
 mod bootstrap;
+mod fingerprint;
 mod hunt;
 mod latencies;
 mod measure;
@@ -27,9 +28,10 @@
 mod world_spec;
 
 pub use bootstrap::Interval;
+pub use fingerprint::fingerprint;
 pub use hunt::{Finding, HuntConfig, ReferenceShare, hunt};
 pub use measure::Measure;
-pub use plan::{Plan, Run, fingerprint};
+pub use plan::{Plan, Run};
 pub use report::render_report;
 pub use results::{ResultLine, Results, ResultsError};
 pub use run::{Failure, Progress, RunError, run_missing};
--- a/experiments/src/plan.rs
+++ b/experiments/src/plan.rs
@@ -1,13 +1,17 @@
 //! The plan of an experiment: its worlds, variants and seeds, and the key under which each run's result is stored.
 
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 
 use ivyhatch_lab::World;
 
-use crate::spec::Experiment;
+use crate::fingerprint::fingerprint;
+use crate::measure::Measure;
+use crate::spec::{Experiment, SpecError, WorldSpec};
 
-/// Hexadecimal digits of a fingerprint.
-const FINGERPRINT_DIGITS: usize = 16;
+/// The measures of an experiment that names none.
+const DEFAULT_MEASURES: [Measure; 4] = [Measure::Served, Measure::P99Ms, Measure::Crossed, Measure::Chokes];
+/// The most seeds of an experiment.
+const MAX_SEEDS: u32 = 100_000;
 
 /// One run of an experiment.
 #[derive(Clone, Copy, Debug)]
@@ -36,9 +40,39 @@
     pub(crate) variant_keys: Vec<String>,
 }
 
-/// A short fingerprint of some bytes, a prefix of their BLAKE3 hash.
-pub fn fingerprint(bytes: &[u8]) -> String {
-    blake3::hash(bytes).to_hex()[..FINGERPRINT_DIGITS].to_owned()
+impl Experiment {
+    /// Validates the experiment and reads the files that it names, relative to `folder`. `build` stands for the running build:
+    /// results of another build do not count.
+    ///
+    /// # Errors
+    /// The first field, file or world that is wrong.
+    pub fn plan(mut self, folder: &Path, build: &str) -> Result<Plan, SpecError> {
+        if self.seeds == 0 || self.seeds > MAX_SEEDS {
+            return Err(SpecError::field("seeds", self.seeds.to_string(), "1 to 100000"));
+        }
+        if self.variants.is_empty() {
+            return Err(SpecError::field("variant", "none", "at least one"));
+        }
+        if self.worlds.is_empty() {
+            self.worlds.push(WorldSpec { name: "evening".into(), ..WorldSpec::default() });
+        }
+        if self.measures.is_empty() {
+            self.measures = DEFAULT_MEASURES.to_vec();
+        }
+        self.check_names()?;
+        let baseline = self.baseline_position()?;
+        let worlds: Vec<World> =
+            self.worlds.iter().map(|world| world.resolve(folder)).collect::<Result<_, _>>()?;
+        let mut programs = Vec::new();
+        let mut variant_keys = Vec::new();
+        for (number, variant) in self.variants.iter().enumerate() {
+            let program = variant.program(number, folder)?;
+            variant_keys.push(variant.key(number, program.as_deref(), build)?);
+            programs.push(program);
+        }
+        let world_keys = worlds.iter().map(World::write).collect();
+        Ok(Plan { experiment: self, worlds, baseline, programs, world_keys, variant_keys })
+    }
 }
 
 impl Plan {
--- a/experiments/src/spec.rs
+++ b/experiments/src/spec.rs
@@ -3,16 +3,11 @@
 use std::collections::BTreeMap;
 use std::path::{Path, PathBuf};
 
-use ivyhatch_lab::{Policy, PolicyConfig, PolicyConfigError, World, WorldError};
+use ivyhatch_lab::{Policy, PolicyConfig, PolicyConfigError, WorldError};
 use serde::Deserialize;
 
+use crate::fingerprint::fingerprint;
 use crate::measure::Measure;
-use crate::plan::{Plan, fingerprint};
-
-/// The most seeds of an experiment.
-const MAX_SEEDS: u32 = 100_000;
-/// The measures of an experiment that names none.
-const DEFAULT_MEASURES: [Measure; 4] = [Measure::Served, Measure::P99Ms, Measure::Crossed, Measure::Chokes];
 
 /// An experiment.
 #[derive(Clone, Debug, Deserialize)]
@@ -139,41 +134,8 @@
         Ok(toml::from_str(text)?)
     }
 
-    /// Validates the experiment and reads the files that it names, relative to `folder`. `build` stands for the running build:
-    /// results of another build do not count.
-    ///
-    /// # Errors
-    /// The first field, file or world that is wrong.
-    pub fn plan(mut self, folder: &Path, build: &str) -> Result<Plan, SpecError> {
-        if self.seeds == 0 || self.seeds > MAX_SEEDS {
-            return Err(SpecError::field("seeds", self.seeds.to_string(), "1 to 100000"));
-        }
-        if self.variants.is_empty() {
-            return Err(SpecError::field("variant", "none", "at least one"));
-        }
-        if self.worlds.is_empty() {
-            self.worlds.push(WorldSpec { name: "evening".into(), ..WorldSpec::default() });
-        }
-        if self.measures.is_empty() {
-            self.measures = DEFAULT_MEASURES.to_vec();
-        }
-        self.check_names()?;
-        let baseline = self.baseline_position()?;
-        let worlds: Vec<World> =
-            self.worlds.iter().map(|world| world.resolve(folder)).collect::<Result<_, _>>()?;
-        let mut programs = Vec::new();
-        let mut variant_keys = Vec::new();
-        for (number, variant) in self.variants.iter().enumerate() {
-            let program = variant.program(number, folder)?;
-            variant_keys.push(variant.key(number, program.as_deref(), build)?);
-            programs.push(program);
-        }
-        let world_keys = worlds.iter().map(World::write).collect();
-        Ok(Plan { experiment: self, worlds, baseline, programs, world_keys, variant_keys })
-    }
-
     /// Names of worlds and of variants are unique.
-    fn check_names(&self) -> Result<(), SpecError> {
+    pub(crate) fn check_names(&self) -> Result<(), SpecError> {
         let worlds = self.worlds.iter().map(|world| ("world", &world.name));
         let variants = self.variants.iter().map(|variant| ("variant", &variant.name));
         let names: Vec<(&str, &String)> = worlds.chain(variants).collect();
@@ -186,7 +148,7 @@
         Ok(())
     }
 
-    fn baseline_position(&self) -> Result<usize, SpecError> {
+    pub(crate) fn baseline_position(&self) -> Result<usize, SpecError> {
         let Some(name) = &self.baseline else { return Ok(0) };
         let position = self.variants.iter().position(|variant| variant.name == *name);
         position.ok_or_else(|| SpecError::field("baseline", name, "the name of a variant"))
@@ -195,7 +157,7 @@
 
 impl Variant {
     /// Validates the policy and returns the path of the program, if there is one.
-    fn program(&self, number: usize, folder: &Path) -> Result<Option<PathBuf>, SpecError> {
+    pub(crate) fn program(&self, number: usize, folder: &Path) -> Result<Option<PathBuf>, SpecError> {
         if let Err(PolicyConfigError { field, wanted }) = self.policy_config().check() {
             return Err(SpecError::field(format!("variant[{number}].{field}"), &self.name, wanted));
         }
@@ -208,7 +170,12 @@
     }
 
     /// What stands for the variant in the keys of its runs: its policy and its build.
-    fn key(&self, number: usize, program: Option<&Path>, build: &str) -> Result<String, SpecError> {
+    pub(crate) fn key(
+        &self,
+        number: usize,
+        program: Option<&Path>,
+        build: &str,
+    ) -> Result<String, SpecError> {
         let policy = serde_json::to_string(&self.policy_config()).expect("a policy is plain data");
         let build = match program {
             None => build.to_owned(),
--- a/simulation/src/plan/extended.rs
+++ b/simulation/src/plan/extended.rs
@@ -1,9 +1,9 @@
-//! Plans with further faults: routers that restart while they are partitioned, full disks, long bursts of changes, and responses
-//! that operators never receive. They are drawn from a generator of their own, so that [`Plan::random`] keeps the plan of each seed.
+//! Plans with further faults: routers that restart while they are partitioned, full disks, long bursts of changes, responses that
+//! operators never receive, and members that are away one over another until there is no quorum. They are drawn from a generator of their own, so that [`Plan::random`] keeps the plan of each seed.
 
 use super::generate::{FAULTS_BEGIN_MS, SHORTEST_FAULT_MS, random_subset};
 use super::{
-    Fault, FaultTrigger, Plan, PlannedOperation, RouterPartition, ScheduledFault, ScheduledOperation,
+    Fault, FaultTrigger, NodeSet, Plan, PlannedOperation, RouterPartition, ScheduledFault, ScheduledOperation,
 };
 use crate::random::Random;
 
@@ -17,6 +17,8 @@
 const BURST_INTERVAL_MS: u64 = 20;
 /// The end of all faults of a plan with a burst: late enough that most changes come before the last fault.
 const BURST_FAULTS_END_MS: u64 = 18_000;
+/// Members that are away one over another begin to be so within half of this, and are away for half of it at least.
+const OVERLAP_MS: u64 = 3_000;
 /// The operator that sends the burst.
 const BURST_OPERATOR: usize = 0;
 
@@ -37,9 +39,32 @@
         if random.chance_percent(40) {
             plan.lost_response_percent = random.between(5, 40);
         }
+        if plan.members > 1 && random.chance_percent(40) {
+            plan.add_overlapping_losses(&mut random);
+        }
         plan
     }
 
+    /// A majority of the members is away one over another, each in its own way, with their disks kept: the group rests until they
+    /// are back, and loses nothing.
+    fn add_overlapping_losses(&mut self, random: &mut Random) {
+        let majority = self.members as u64 / 2 + 1;
+        let count = random.between(majority, self.members as u64);
+        let begins_ms = random.between(FAULTS_BEGIN_MS, self.faults_end_ms - OVERLAP_MS);
+        for slot in random_subset(random, self.members, count).iter() {
+            let member = NodeSet(1 << slot);
+            let fault = match random.below(4) {
+                0 => Fault::Kill(member),
+                1 => Fault::PowerLoss(member),
+                2 => Fault::Freeze(member),
+                _ => Fault::Partition(member),
+            };
+            let trigger = FaultTrigger::At(begins_ms + random.below(OVERLAP_MS / 2));
+            let duration_ms = OVERLAP_MS / 2 + random.below(OVERLAP_MS);
+            self.faults.push(ScheduledFault { trigger, fault, duration_ms });
+        }
+    }
+
     /// A router is partitioned from some or all members, and its process restarts meanwhile. Sometimes the only members that it
     /// reaches are partitioned from the others themselves.
     fn add_restart_while_partitioned(&mut self, random: &mut Random) {
@@ -62,12 +87,7 @@
     }
 
     /// Draws the members that a router cannot reach. Where it reaches a minority, that minority is partitioned from the rest.
-    fn add_unreachable_members(
-        &mut self,
-        random: &mut Random,
-        at_ms: u64,
-        duration_ms: u64,
-    ) -> super::NodeSet {
+    fn add_unreachable_members(&mut self, random: &mut Random, at_ms: u64, duration_ms: u64) -> NodeSet {
         let minority = self.members.saturating_sub(1) as u64 / 2;
         if minority == 0 || !random.chance_percent(40) {
             let count = random.between(1, self.members as u64);
