Bulk to all sessions together takes half of the machine's link

A configuration of 1,440 routes went to all of a control node's sessions at once, each limited by itself, and filled the link; the router beside it took a silent server whose probe could not connect in time for gone, and cut a stream.

Change: connections share a pacer at half of the link of the settings, or as much as drains all within a second. Test in system/tests/transport.rs; it fails without the pacer.

--- a/protocol/src/settings/bounds.rs
+++ b/protocol/src/settings/bounds.rs
@@ -77,10 +77,22 @@
     pub max_fds: usize,
     /// The size of the disk, in megabytes; 0 for none.
     pub disk_mb: f64,
+    /// The rate of the machine's link, in megabits a second; 0 where it is not known.
+    pub link_mbps: f64,
+}
+
+/// Bytes a second of one megabit a second.
+const BYTES_PER_MEGABIT: f64 = 1_000_000.0 / 8.0;
+
+impl ResourceLimits {
+    /// The rate of the machine's link, in bytes a second, where it is known.
+    pub fn link_bytes_per_second(&self) -> Option<f64> {
+        (self.link_mbps > 0.0).then_some(self.link_mbps * BYTES_PER_MEGABIT)
+    }
 }
 
 impl Default for ResourceLimits {
     fn default() -> Self {
-        Self { cpu_share: 1.0, memory_mb: 256.0, max_fds: 1024, disk_mb: 0.0 }
+        Self { cpu_share: 1.0, memory_mb: 256.0, max_fds: 1024, disk_mb: 0.0, link_mbps: 0.0 }
     }
 }
--- a/protocol/tests/golden_settings.rs
+++ b/protocol/tests/golden_settings.rs
@@ -90,6 +90,7 @@
     expect_that!(settings.limits.memory_mb, eq(256.0));
     expect_that!(settings.limits.max_fds, eq(1024));
     expect_that!(settings.limits.disk_mb, eq(0.0));
+    expect_that!(settings.limits.link_bytes_per_second(), none());
     expect_that!(settings.fault_tolerance.machines, eq(1));
     expect_that!(settings.bounds.drain_timeout_ms, eq(2000.0));
     expect_that!(settings.bounds.shutdown_grace_s, eq(8.0));
--- a/system/src/control/host.rs
+++ b/system/src/control/host.rs
@@ -61,7 +61,7 @@
     pub fn new(parts: HostParts) -> Self {
         let HostParts { settings, clock, node_config, stored, disk, list_reads } = parts;
         Self {
-            watch_sessions: WatchSessions::default(),
+            watch_sessions: WatchSessions::new(settings.limits.link_bytes_per_second()),
             shutdown_complete: Notify::new(),
             control_plane: RefCell::new(ControlPlane::new(node_config, stored, clock.now())),
             clock,
--- a/system/src/control/watch_sessions.rs
+++ b/system/src/control/watch_sessions.rs
@@ -2,24 +2,34 @@
 
 use std::cell::RefCell;
 use std::collections::BTreeMap;
+use std::rc::Rc;
 
 use ivyhatch_control::SessionId;
 use ivyhatch_protocol::watch::WatchResponse;
 
 use crate::transport::frame_cache::FrameCache;
-use crate::transport::writer::{SendQueue, Writer};
+use crate::transport::writer::{BulkPacer, SendQueue, Writer};
 
 /// Open sessions. A session's task owns its [`SendQueue`]; removing the writer here makes the task end.
-#[derive(Default)]
 pub struct WatchSessions {
     writers: RefCell<BTreeMap<SessionId, Writer>>,
     frame_cache: RefCell<FrameCache>,
+    pacer: Rc<BulkPacer>,
 }
 
 impl WatchSessions {
+    /// No sessions yet, on a machine with a link of this rate, in bytes a second.
+    pub fn new(link_bytes_per_second: Option<f64>) -> Self {
+        Self {
+            writers: RefCell::default(),
+            frame_cache: RefCell::default(),
+            pacer: Rc::new(BulkPacer::new(link_bytes_per_second)),
+        }
+    }
+
     /// Opens a session, and returns the queue of what is sent on it.
     pub fn open(&self, id: SessionId) -> SendQueue {
-        let (writer, queue) = Writer::new();
+        let (writer, queue) = Writer::new(self.pacer.clone());
         self.writers.borrow_mut().insert(id, writer);
         queue
     }
--- a/system/src/outgoing.rs
+++ b/system/src/outgoing.rs
@@ -23,7 +23,7 @@
 use crate::clock::Clock;
 use crate::transport::reader::ConnectionError;
 use crate::transport::socket;
-use crate::transport::writer::Writer;
+use crate::transport::writer::{BulkPacer, Writer};
 
 /// Pause before a connection that has ended, or could not be opened, is opened again.
 const RECONNECT_INTERVAL: Duration = Duration::from_millis(100);
@@ -50,13 +50,16 @@
     local: Ipv4Addr,
     port: u16,
     writers: RefCell<BTreeMap<NodeId, Writer>>,
+    /// Nothing is sent as bulk here.
+    pacer: Rc<BulkPacer>,
     tasks: RefCell<BTreeMap<NodeId, JoinHandle<()>>>,
 }
 
 impl OutgoingConnections {
     /// None yet. They will go from this machine's own address to this port of the nodes.
     pub fn new(clock: Clock, local: Ipv4Addr, port: u16) -> Self {
-        Self { clock, local, port, writers: RefCell::default(), tasks: RefCell::default() }
+        let pacer = Rc::new(BulkPacer::new(None));
+        Self { clock, local, port, writers: RefCell::default(), pacer, tasks: RefCell::default() }
     }
 
     /// Queues a message on the connection to a node; drops it where there is none.
@@ -119,7 +122,7 @@
         mut stream: TcpStream,
         started_at: Nanos,
     ) {
-        let (writer, mut queue) = Writer::new();
+        let (writer, mut queue) = Writer::new(self.pacer.clone());
         self.writers.borrow_mut().insert(node, writer);
         handler.connected(node, self.clock.now() - started_at);
         let (mut reading, mut writing) = stream.split();
--- a/system/src/transport/writer.rs
+++ b/system/src/transport/writer.rs
@@ -27,6 +27,39 @@
 /// After a pause, what the rate allows in this time is written at once.
 const BULK_BURST: Duration = Duration::from_millis(100);
 
+/// The rate of bulk over all connections that share it: half of the machine's link, or as much as drains all of it within
+/// [`BULK_DRAIN_TARGET`]. Without it, a configuration that goes to many connections at once fills the link, and whatever else the
+/// machine does waits behind it.
+pub struct BulkPacer {
+    bytes_per_second: f64,
+    queued: Cell<usize>,
+    next_at: Cell<Instant>,
+}
+
+impl BulkPacer {
+    /// The pacer of a machine with a link of this rate, in bytes a second; without a known rate bulk is limited by connection only.
+    pub fn new(link_bytes_per_second: Option<f64>) -> Self {
+        let bytes_per_second = link_bytes_per_second.map_or(f64::INFINITY, |rate| rate / 2.0);
+        Self { bytes_per_second, queued: Cell::new(0), next_at: Cell::new(Instant::now()) }
+    }
+
+    /// Reserves the time in which some bytes are written. Returns when it begins.
+    fn reserve(&self, length: usize) -> Instant {
+        let rate = self.bytes_per_second.max(self.queued.get() as f64 / BULK_DRAIN_TARGET.as_secs_f64());
+        let begins_at = self.next_at.get().max(Instant::now());
+        self.next_at.set(begins_at + Duration::from_secs_f64(length as f64 / rate));
+        begins_at
+    }
+
+    fn add_queued(&self, length: usize) {
+        self.queued.set(self.queued.get() + length);
+    }
+
+    fn remove_queued(&self, length: usize) {
+        self.queued.set(self.queued.get().saturating_sub(length));
+    }
+}
+
 /// The sending end of a connection's queue.
 #[derive(Clone)]
 pub struct Writer {
@@ -36,20 +69,42 @@
 }
 
 /// Bytes in the queue.
-#[derive(Default)]
 struct QueuedBytes {
     total: Cell<usize>,
     bulk: Cell<usize>,
+    pacer: Rc<BulkPacer>,
+}
+
+impl QueuedBytes {
+    fn add_bulk(&self, length: usize) {
+        self.bulk.set(self.bulk.get() + length);
+        self.pacer.add_queued(length);
+    }
+
+    fn remove_bulk(&self, length: usize) {
+        self.bulk.set(self.bulk.get().saturating_sub(length));
+        self.pacer.remove_queued(length);
+    }
+}
+
+impl Drop for QueuedBytes {
+    fn drop(&mut self) {
+        self.pacer.remove_queued(self.bulk.get());
+    }
 }
 
 impl Writer {
-    /// Both ends of an empty queue.
-    pub fn new() -> (Self, SendQueue) {
+    /// Both ends of an empty queue, whose bulk shares the pacer's rate with that of other connections.
+    pub fn new(pacer: Rc<BulkPacer>) -> (Self, SendQueue) {
         let (messages, queued_messages) = unbounded_channel();
         let (bulk_frames, queued_bulk_frames) = unbounded_channel();
-        let queued = Rc::<QueuedBytes>::default();
-        let queue =
-            SendQueue { messages: queued_messages, bulk_frames: queued_bulk_frames, queued: queued.clone() };
+        let queued = Rc::new(QueuedBytes { total: Cell::new(0), bulk: Cell::new(0), pacer });
+        let queue = SendQueue {
+            messages: queued_messages,
+            bulk_frames: queued_bulk_frames,
+            next_bulk_frame: None,
+            queued: queued.clone(),
+        };
         (Self { messages, bulk_frames, queued }, queue)
     }
 
@@ -69,7 +124,7 @@
         if !self.reserve(length) {
             return false;
         }
-        self.queued.bulk.set(self.queued.bulk.get() + length);
+        self.queued.add_bulk(length);
         fragments.iter().all(|fragment| self.bulk_frames.send(fragment.clone()).is_ok())
     }
 
@@ -88,6 +143,8 @@
 pub struct SendQueue {
     messages: UnboundedReceiver<Rc<Vec<u8>>>,
     bulk_frames: UnboundedReceiver<Rc<Vec<u8>>>,
+    /// The bulk frame that is written next, and when.
+    next_bulk_frame: Option<(Rc<Vec<u8>>, Instant)>,
     queued: Rc<QueuedBytes>,
 }
 
@@ -100,9 +157,17 @@
         let mut batch = Vec::new();
         let mut limiter = BulkRateLimiter::default();
         loop {
-            let bulk_frame = async {
-                sleep_until(limiter.next_at).await;
-                self.bulk_frames.recv().await
+            let next_bulk_frame = &mut self.next_bulk_frame;
+            let bulk_frame_is_due = async {
+                if next_bulk_frame.is_none() {
+                    sleep_until(limiter.next_at).await;
+                    let frame = self.bulk_frames.recv().await?;
+                    let begins_at = self.queued.pacer.reserve(frame.len());
+                    *next_bulk_frame = Some((frame, begins_at));
+                }
+                let (_, begins_at) = next_bulk_frame.as_ref()?;
+                sleep_until(*begins_at).await;
+                Some(())
             };
             tokio::select! {
                 biased;
@@ -110,9 +175,10 @@
                     Some(message) => self.write_batch(&message, &mut batch, stream).await?,
                     None => return Ok(()),
                 },
-                Some(frame) = bulk_frame => {
+                Some(()) = bulk_frame_is_due => {
+                    let Some((frame, _)) = self.next_bulk_frame.take() else { continue };
                     limiter.spend(frame.len(), self.bulk_bytes_per_second());
-                    self.queued.bulk.set(self.queued.bulk.get().saturating_sub(frame.len()));
+                    self.queued.remove_bulk(frame.len());
                     write_chunks(stream, &frame).await?;
                     self.release(frame.len());
                 }
--- a/system/tests/transport.rs
+++ b/system/tests/transport.rs
@@ -11,7 +11,7 @@
 use ivyhatch_protocol::watch::{Shared, WatchResponse};
 use ivyhatch_system::transport::frame_cache::FrameCache;
 use ivyhatch_system::transport::reader::{Received, read_messages_and_fragments};
-use ivyhatch_system::transport::writer::Writer;
+use ivyhatch_system::transport::writer::{BulkPacer, Writer};
 use tokio::io::{AsyncReadExt, DuplexStream, duplex};
 use tokio::task::{LocalSet, spawn_local};
 use tokio::time::{Instant, sleep};
@@ -73,7 +73,7 @@
 fn heartbeat_overtakes_a_large_configuration() {
     let received = run(async {
         let (mut to, from) = duplex(4 * 1024);
-        let (writer, mut queue) = Writer::new();
+        let (writer, mut queue) = Writer::new(Rc::new(BulkPacer::new(None)));
         spawn_local(async move { queue.write_to(&mut to).await });
         let document = Shared::from(document(2000));
         let fragments: Vec<_> = encode_fragments(&snapshot(&document)).into_iter().map(Rc::new).collect();
@@ -108,7 +108,7 @@
 fn configuration_changes_keep_their_order() {
     let received = run(async {
         let (mut to, from) = duplex(4 * 1024);
-        let (writer, mut queue) = Writer::new();
+        let (writer, mut queue) = Writer::new(Rc::new(BulkPacer::new(None)));
         spawn_local(async move { queue.write_to(&mut to).await });
         let mut frames = FrameCache::default();
         writer.send_bulk(&frames.fragments(&snapshot(&document(500).into())));
@@ -147,7 +147,7 @@
 fn fragments_are_reported_before_their_message_is_complete() {
     let (fragments, messages) = run(async {
         let (mut to, mut from) = duplex(4 * 1024);
-        let (writer, mut queue) = Writer::new();
+        let (writer, mut queue) = Writer::new(Rc::new(BulkPacer::new(None)));
         spawn_local(async move { queue.write_to(&mut to).await });
         let mut frames = FrameCache::default();
         writer.send_bulk(&frames.fragments(&snapshot(&document(500).into())));
@@ -169,3 +169,54 @@
     expect_that!(messages, eq(1));
     expect_that!(fragments, ge(5));
 }
+
+/// The bytes that arrive on all connections in each tenth of a second.
+async fn bytes_by_tenth(connections: Vec<DuplexStream>, tenths: usize) -> Vec<usize> {
+    let received = Rc::new(std::cell::RefCell::new(vec![0; tenths]));
+    let begun = Instant::now();
+    for mut connection in connections {
+        let received = received.clone();
+        spawn_local(async move {
+            let mut buffer = vec![0; 64 * 1024];
+            while let Ok(length) = connection.read(&mut buffer).await {
+                let tenth = (begun.elapsed().as_millis() / 100) as usize;
+                if length == 0 || tenth >= tenths {
+                    return;
+                }
+                received.borrow_mut()[tenth] += length;
+            }
+        });
+    }
+    sleep(Duration::from_millis(100 * tenths as u64)).await;
+    received.take()
+}
+
+#[gtest]
+fn configuration_for_many_connections_leaves_room_on_the_link() {
+    // A configuration to forty connections at once, on a link of two megabytes a second.
+    const CONNECTIONS: usize = 40;
+    const LINK_BYTES_PER_SECOND: f64 = 2e6;
+    let (total, by_tenth) = run(async {
+        let pacer = Rc::new(BulkPacer::new(Some(LINK_BYTES_PER_SECOND)));
+        let mut frames = FrameCache::default();
+        let fragments = frames.fragments(&snapshot(&document(100).into()));
+        let mut receivers = Vec::new();
+        let mut writers = Vec::new();
+        for _ in 0..CONNECTIONS {
+            let (mut to, from) = duplex(64 * 1024);
+            let (writer, mut queue) = Writer::new(pacer.clone());
+            spawn_local(async move { queue.write_to(&mut to).await });
+            writer.send_bulk(&fragments);
+            receivers.push(from);
+            writers.push(writer);
+        }
+        let by_tenth = bytes_by_tenth(receivers, 30).await;
+        drop(writers);
+        (fragments.iter().map(|fragment| fragment.len()).sum::<usize>() * CONNECTIONS, by_tenth)
+    });
+    expect_that!(by_tenth.iter().sum::<usize>(), eq(total));
+    // Half of the link, or all of it within a second, and no more than a fragment beyond it.
+    let rate = (LINK_BYTES_PER_SECOND / 2.0).max(total as f64);
+    let most_in_a_tenth = (rate / 10.0) as usize + 17 * 1024;
+    expect_that!(by_tenth, each(le(&most_in_a_tenth)));
+}
