Whole values proposed again replace the registers; no whole values before a node is known

Found by reading: a node from which no heartbeat had come was spoken to in whole values. These may be cut into other registers (positions after removals); where the committed contents were proposed again in this form, the replica kept its own registers beside the digest of the others, and as a leader failed on its own proposal for good.

Change: such contents replace the registers; messages to a node whose form is not known count as lost, and each consensus message shows its sender's form; waits for acknowledgements begin anew with each one. Test in control/tests/acceptor.rs.

--- a/control/src/consensus/acceptor.rs
+++ b/control/src/consensus/acceptor.rs
@@ -164,9 +164,12 @@
         }
         let writes = update.writes.iter().filter(is_new);
         let writes: BTreeMap<_, _> = writes.map(|write| (write.key.clone(), write.clone())).collect();
-        // Under another ballot the committed version may be proposed again.
         if sequence > self.committed.sequence {
             self.pending.push_back(PendingChange { sequence, replaces_all, writes });
+        } else if replaces_all {
+            // The committed contents are proposed again under another ballot. What was whole values on the way may be cut into other
+            // registers that say the same: from here on they are the leader's.
+            self.registers = RegisterMap::from_whole(sequence, writes.into_values());
         }
         (self.accepted, self.accepted_digest) = (update.version, digest);
         self.promise(ballot);
--- a/control/src/consensus/partition/leadership.rs
+++ b/control/src/consensus/partition/leadership.rs
@@ -90,6 +90,7 @@
             return;
         }
         self.matched = Some(sequence);
+        self.timer.doublings = 0;
         if !self.was_sent_again {
             self.timer.record(now.saturating_sub(self.sent_at));
         }
--- a/control/src/consensus/whole_values.rs
+++ b/control/src/consensus/whole_values.rs
@@ -95,6 +95,24 @@
     has_accepted.then(|| value_of(partition, acceptor.accepted_update(None))).flatten()
 }
 
+/// Whether the sender of a message understands registers, where the message shows it.
+pub fn shown_support(message: &ConsensusMessage) -> Option<bool> {
+    match message {
+        ConsensusMessage::WholePrepare { .. }
+        | ConsensusMessage::WholePromise { .. }
+        | ConsensusMessage::WholeAccept(_)
+        | ConsensusMessage::WholeFetch { .. }
+        | ConsensusMessage::WholeCommitted(_) => Some(false),
+        ConsensusMessage::Prepare { .. }
+        | ConsensusMessage::Promise { .. }
+        | ConsensusMessage::Accept(_)
+        | ConsensusMessage::Behind { .. }
+        | ConsensusMessage::Fetch { .. }
+        | ConsensusMessage::Committed(_) => Some(true),
+        _ => None,
+    }
+}
+
 /// A message from a node of any release, with registers.
 pub fn from_any_release(partition: PartitionId, message: ConsensusMessage) -> ConsensusMessage {
     match message {
--- a/control/src/control_plane/consensus.rs
+++ b/control/src/control_plane/consensus.rs
@@ -1,7 +1,7 @@
 //! Joins the partitions with elections, the disk and the network: messages of the consensus, and what its effects cause.
 
 use ivyhatch_protocol::ids::{NodeId, PartitionId};
-use ivyhatch_protocol::peer::{ConsensusMessage, Heartbeat, PeerMessage};
+use ivyhatch_protocol::peer::{ConsensusMessage, PeerMessage};
 
 use super::ControlPlane;
 use crate::consensus::elections;
@@ -39,6 +39,11 @@
             }
             return;
         }
+        if let Some(supports_registers) = whole_values::shown_support(&message)
+            && from != self.config.node
+        {
+            self.peers.record_support(from, supports_registers);
+        }
         let (now, is_voter) = (self.now, self.replica.is_voter());
         let Some(replica) = self.partitions.replica_mut(partition) else { return };
         let message = whole_values::from_any_release(partition, message);
@@ -80,14 +85,20 @@
         }
     }
 
-    /// Whether a node understands messages that carry registers.
+    /// Whether a node understands messages that carry registers; `None` before a message of it has shown that.
+    fn known_support(&self, node: NodeId) -> Option<bool> {
+        if node == self.config.node { Some(true) } else { self.peers.supports_registers(node) }
+    }
+
+    /// Whether a node is known to understand messages that carry registers.
     pub(super) fn supports_registers(&self, node: NodeId) -> bool {
-        node == self.config.node || self.peers.heartbeat(node).is_some_and(Heartbeat::supports_registers)
+        self.known_support(node) == Some(true)
     }
 
-    /// A consensus message in the form that its receiver understands; `None` where there is none.
+    /// A consensus message in the form that its receiver understands; `None` where there is none. Before the receiver's first message
+    /// that form is not known: the message counts as lost, and is sent again by the one who waits for its answer.
     fn envelope(&self, to: NodeId, partition: PartitionId, message: ConsensusMessage) -> Option<Envelope> {
-        let message = match self.supports_registers(to) {
+        let message = match self.known_support(to)? {
             true => message,
             false => {
                 let acceptor = self.partitions.replica(partition)?.acceptor();
--- a/control/src/liveness/failure_detector.rs
+++ b/control/src/liveness/failure_detector.rs
@@ -19,6 +19,8 @@
 struct Peer {
     last_received_at: Option<Nanos>,
     heartbeat: Option<Heartbeat>,
+    /// Whether the node understands messages that carry registers; none before a message has shown it.
+    supports_registers: Option<bool>,
 }
 
 impl Peer {
@@ -70,15 +72,26 @@
             known.incarnation != heartbeat.incarnation || known.sequence < heartbeat.sequence
         });
         if is_newer {
+            peer.supports_registers = Some(heartbeat.supports_registers());
             peer.heartbeat = Some(heartbeat);
         }
     }
 
+    /// Records that a message has shown whether its sender understands messages that carry registers.
+    pub fn record_support(&mut self, node: NodeId, supports_registers: bool) {
+        self.peers.entry(node).or_default().supports_registers = Some(supports_registers);
+    }
+
+    /// Whether a node understands messages that carry registers; `None` before a message has shown it.
+    pub fn supports_registers(&self, node: NodeId) -> Option<bool> {
+        self.peers.get(&node)?.supports_registers
+    }
+
     /// Adds nodes that another node can reach. They stay known if they send something.
     pub fn discover(&mut self, now: Nanos, nodes: &[NodeId]) {
         let last_received_at = Some(now.saturating_sub(FORGET_TIMEOUT - DISCOVERY_TIMEOUT));
         for node in nodes.iter().filter(|node| **node != self.node) {
-            self.peers.entry(*node).or_insert(Peer { last_received_at, heartbeat: None });
+            self.peers.entry(*node).or_insert(Peer { last_received_at, ..Peer::default() });
         }
     }
 
--- a/control/tests/acceptor.rs
+++ b/control/tests/acceptor.rs
@@ -4,7 +4,8 @@
 use ivyhatch_control::consensus::acceptor::{AcceptOutcome, Acceptor, CommitOutcome, LearnOutcome};
 use ivyhatch_protocol::ids::{Ballot, NodeId};
 use ivyhatch_protocol::registers::{
-    RegisterKey, RegisterValue, StateUpdate, UpdateBase, Version, register_digest,
+    RegisterKey, RegisterValue, RegisterWrite, StateUpdate, UpdateBase, Version, register_digest,
+    writes_digest,
 };
 
 fn ballot(counter: u64) -> Ballot {
@@ -156,3 +157,30 @@
     let expected = register_digest(&key("a"), &[3]).wrapping_add(register_digest(&key("b"), &[2]));
     expect_that!(leader.registers().digest(), eq(expected));
 }
+
+/// The same contents as the leader's in other registers, as of the leader's committed version under a later ballot.
+fn cut_otherwise(leader: &Acceptor) -> StateUpdate {
+    let sequence = leader.committed().sequence;
+    let writes: Vec<RegisterWrite> = [("a", 1), ("x", 2)]
+        .map(|(name, byte)| RegisterWrite { key: key(name), sequence, value: value(byte) })
+        .into();
+    let digest = writes_digest(&writes);
+    let version = Version { ballot: ballot(2), sequence };
+    StateUpdate { version, base: UpdateBase::Empty, writes, digest }
+}
+
+#[gtest]
+fn committed_contents_that_are_proposed_again_in_other_registers_are_taken_over() {
+    let mut follower = leader(&[("a", Some(1)), ("b", Some(2))], 2);
+    let update = cut_otherwise(&follower);
+    expect_that!(follower.accept(&update), eq(AcceptOutcome::Accepted));
+    expect_that!(names(&follower), elements_are![eq("a"), eq("x")]);
+    // The replica can propose them again itself, and go on from them.
+    let mut again = follower.accepted_update(Some(2));
+    again.version.ballot = ballot(3);
+    expect_that!(follower.accept(&again), eq(AcceptOutcome::Accepted));
+    let next = follower.next_change(ballot(3), vec![(key("c"), value(3))]);
+    expect_that!(follower.accept(&next), eq(AcceptOutcome::Accepted));
+    let whole = follower.accepted_update(None);
+    expect_that!(whole.digest, eq(writes_digest(&whole.writes)));
+}
