--- a/system/src/transport/writer.rs
+++ b/system/src/transport/writer.rs
@@ -27,9 +27,9 @@
 /// After a pause, what the rate allows in this time is written at once.
 const BULK_BURST: Duration = Duration::from_millis(100);
 
-/// The rate of bulk over all connections that share it: half of the machine's link, or as much as drains all of it within
-/// [`BULK_DRAIN_TARGET`]. Without it, a configuration that goes to many connections at once fills the link, and whatever else the
-/// machine does waits behind it.
+/// The rate of bulk over all connections that share it: half of the machine's link, or as much as drains all of it within a second.
+/// Without it, a configuration that goes to many connections at once fills the link, and whatever else the machine does waits behind
+/// it.
 pub struct BulkPacer {
     bytes_per_second: f64,
     queued: Cell<usize>,
