Acceptor: the digest of the accepted contents is derived, and writes are applied in one place

The digest was kept beside the pending changes that it follows from, and recomputed on a copy of the whole acceptor to compact the disk's file. Each pending change now has the digest after it: the last one's is the accepted contents', and compaction reads it. Commit, learn and a repeated proposal applied writes in three ways, and two digests were folded by the same loop; each is one function now. The golden files of the disk are unchanged.

--- a/control/src/consensus/acceptor.rs
+++ b/control/src/consensus/acceptor.rs
@@ -20,6 +20,8 @@
     /// Whether the registers replace all contents before them.
     replaces_all: bool,
     writes: BTreeMap<RegisterKey, RegisterWrite>,
+    /// The digest of the contents after the change.
+    digest: u64,
 }
 
 /// What became of an update that was to be accepted.
@@ -74,8 +76,6 @@
     registers: RegisterMap,
     /// The changes from `committed` to `accepted`, in order.
     pending: VecDeque<PendingChange>,
-    /// The digest of the contents as of `accepted`.
-    accepted_digest: u64,
 }
 
 impl Acceptor {
@@ -165,13 +165,13 @@
         let writes = update.writes.iter().filter(is_new);
         let writes: BTreeMap<_, _> = writes.map(|write| (write.key.clone(), write.clone())).collect();
         if sequence > self.committed.sequence {
-            self.pending.push_back(PendingChange { sequence, replaces_all, writes });
+            self.pending.push_back(PendingChange { sequence, replaces_all, writes, digest });
         } else if replaces_all {
             // The committed contents are proposed again under another ballot. What was whole values on the way may be cut into other
             // registers that say the same: from here on they are the leader's.
-            self.registers = RegisterMap::from_whole(sequence, writes.into_values());
+            apply(&mut self.registers, sequence, replaces_all, writes.into_values());
         }
-        (self.accepted, self.accepted_digest) = (update.version, digest);
+        self.accepted = update.version;
         self.promise(ballot);
         AcceptOutcome::Accepted
     }
@@ -188,11 +188,8 @@
             return CommitOutcome::Unknown;
         };
         for change in self.pending.drain(..=last) {
-            if change.replaces_all {
-                self.registers = RegisterMap::from_whole(change.sequence, change.writes.into_values());
-            } else {
-                change.writes.into_values().for_each(|write| self.registers.apply(write));
-            }
+            let writes = change.writes.into_values();
+            apply(&mut self.registers, change.sequence, change.replaces_all, writes);
         }
         self.committed = version;
         CommitOutcome::Committed
@@ -211,24 +208,16 @@
         if self.digest_on_committed(update) != update.digest {
             return LearnOutcome::Diverged;
         }
-        let writes = update.writes.iter().cloned();
-        match update.base {
-            UpdateBase::Empty => self.registers = RegisterMap::from_whole(sequence, writes),
-            UpdateBase::Since(_) => {
-                let known = self.committed.sequence;
-                let new = writes.filter(|write| write.sequence > known);
-                new.for_each(|write| self.registers.apply(write));
-            }
-        }
+        let replaces_all = update.base == UpdateBase::Empty;
+        let known = self.committed.sequence;
+        let new = update.writes.iter().filter(|write| replaces_all || write.sequence > known);
+        apply(&mut self.registers, sequence, replaces_all, new.cloned());
         self.committed = update.version;
         if self.accepted.ballot < ballot {
             self.pending.clear();
         }
         self.pending.retain(|change| change.sequence > sequence);
         self.accepted = self.accepted.max(update.version);
-        if self.pending.is_empty() {
-            self.accepted_digest = self.registers.digest();
-        }
         self.promise(ballot);
         LearnOutcome::Learned
     }
@@ -247,14 +236,14 @@
     /// registers may be forgotten.
     pub fn accepted_update(&self, known: Option<u64>) -> StateUpdate {
         let is_replaced = self.pending.iter().any(|change| change.replaces_all);
-        let known = known.filter(|_| !is_replaced);
-        let committed = known.and_then(|known| self.registers.written_since(known));
-        let (base, since, committed) = match (known, committed) {
-            (Some(known), Some(writes)) => (UpdateBase::Since(known), known, writes),
-            _ => (UpdateBase::Empty, 0, self.registers.whole()),
+        let committed = self.committed_update(known.filter(|_| !is_replaced));
+        let base = committed.base;
+        let since = match base {
+            UpdateBase::Since(known) => known,
+            UpdateBase::Empty => 0,
         };
         let key_and_write = |write: RegisterWrite| (write.key.clone(), write);
-        let mut writes: BTreeMap<_, _> = committed.into_iter().map(key_and_write).collect();
+        let mut writes: BTreeMap<_, _> = committed.writes.into_iter().map(key_and_write).collect();
         for change in &self.pending {
             if change.replaces_all {
                 writes.clear();
@@ -266,7 +255,7 @@
             writes.retain(|_, write| write.value.is_some());
         }
         let writes = writes.into_values().collect();
-        StateUpdate { version: self.accepted, base, writes, digest: self.accepted_digest }
+        StateUpdate { version: self.accepted, base, writes, digest: self.accepted_digest() }
     }
 
     /// The committed contents, for a replica whose own agree with them up to a change; whole where `known` is none, or removed
@@ -282,33 +271,29 @@
 
     /// The updates from the committed contents to the accepted ones, one for each change that may be committed by itself.
     pub fn pending_updates(&self) -> Vec<StateUpdate> {
-        let mut partial = Self { pending: VecDeque::new(), ..self.clone() };
-        partial.accepted = Version { ballot: self.accepted.ballot, sequence: self.committed.sequence };
-        partial.accepted_digest = self.registers.digest();
+        let mut base_sequence = self.committed.sequence;
         let mut updates = Vec::new();
         for change in &self.pending {
             let version = Version { ballot: self.accepted.ballot, sequence: change.sequence };
             let base = match change.replaces_all {
                 true => UpdateBase::Empty,
-                false => UpdateBase::Since(partial.accepted.sequence),
-            };
-            let writes: Vec<RegisterWrite> = change.writes.values().cloned().collect();
-            let digest = match change.replaces_all {
-                true => writes_digest(&writes),
-                false => partial.digest_after_accepted(writes.iter()),
+                false => UpdateBase::Since(base_sequence),
             };
-            partial.pending.push_back(change.clone());
-            (partial.accepted, partial.accepted_digest) = (version, digest);
-            updates.push(StateUpdate { version, base, writes, digest });
+            let writes = change.writes.values().cloned().collect();
+            updates.push(StateUpdate { version, base, writes, digest: change.digest });
+            base_sequence = change.sequence;
         }
         updates
     }
 
+    /// The digest of the accepted contents.
+    fn accepted_digest(&self) -> u64 {
+        self.pending.back().map_or(self.registers.digest(), |change| change.digest)
+    }
+
     /// The digest of the accepted contents after these writes.
     fn digest_after_accepted<'a>(&self, writes: impl Iterator<Item = &'a RegisterWrite>) -> u64 {
-        writes.fold(self.accepted_digest, |digest, write| {
-            digest.wrapping_sub(self.accepted_digest_of(&write.key)).wrapping_add(write.digest())
-        })
+        digest_after(self.accepted_digest(), writes, |key| self.accepted_digest_of(key))
     }
 
     /// The digest of the committed contents after an update.
@@ -317,9 +302,7 @@
             return writes_digest(&update.writes);
         }
         let new = update.writes.iter().filter(|write| write.sequence > self.committed.sequence);
-        new.fold(self.registers.digest(), |digest, write| {
-            digest.wrapping_sub(self.registers.digest_of(&write.key)).wrapping_add(write.digest())
-        })
+        digest_after(self.registers.digest(), new, |key| self.registers.digest_of(key))
     }
 
     /// The part of a register in the digest of the accepted contents.
@@ -335,3 +318,27 @@
         self.registers.digest_of(key)
     }
 }
+
+/// Applies the writes of a change to registers, or puts them in place of all.
+fn apply(
+    registers: &mut RegisterMap,
+    sequence: u64,
+    replaces_all: bool,
+    writes: impl Iterator<Item = RegisterWrite>,
+) {
+    if replaces_all {
+        *registers = RegisterMap::from_whole(sequence, writes);
+    } else {
+        writes.for_each(|write| registers.apply(write));
+    }
+}
+
+/// The digest of contents after some of their registers are written; `digest_of` gives the part of a register before that.
+fn digest_after<'a>(
+    before: u64,
+    writes: impl Iterator<Item = &'a RegisterWrite>,
+    digest_of: impl Fn(&RegisterKey) -> u64,
+) -> u64 {
+    writes
+        .fold(before, |digest, write| digest.wrapping_sub(digest_of(&write.key)).wrapping_add(write.digest()))
+}
