Load exchange: the own region's loads are picked once a second and not for each peer

They are the same for all control nodes of other regions. The condition by which routers that are gone are forgotten says two intervals, as it did by way of a nested due date.

--- a/control/src/load_exchange.rs
+++ b/control/src/load_exchange.rs
@@ -64,10 +64,12 @@
         let is_remote_due = is_due(self.remote_exchange_sent_at, now);
         if is_remote_due {
             self.remote_exchange_sent_at = Some(now);
-            self.remote_summary_sent_at.retain(|_, sent_at| !is_due(Some(*sent_at + REMOTE_INTERVAL), now));
+            // A router that has sent no report for two intervals is gone, or gets its next summary at once.
+            self.remote_summary_sent_at.retain(|_, sent_at| now < *sent_at + 2 * REMOTE_INTERVAL);
         }
         let own_region = self.topology.own_region();
         let sum = self.aggregator.local_sum(now);
+        let own_loads = is_remote_due.then(|| self.in_region(&sum, own_region));
         let mut datagrams = Vec::new();
         for PeerLocation { node, region } in self.topology.peers() {
             let Some(region) = region.filter(|region| *region != own_region) else {
@@ -85,9 +87,8 @@
             } else {
                 self.loaded.remove(&node)
             };
-            if is_remote_due {
-                let own = self.in_region(&sum, own_region);
-                datagrams.push((node, LoadDatagram::RemoteExchange(own)));
+            if let Some(own_loads) = &own_loads {
+                datagrams.push((node, LoadDatagram::RemoteExchange(own_loads.clone())));
             }
         }
         datagrams
