--- a/simulation/tests/search.rs
+++ b/simulation/tests/search.rs
@@ -79,10 +79,7 @@
 /// Node 0 has its proposal on node 2 only beside itself, and node 1 leads next.
 fn accepted_by_two(bug: ProtocolBug) -> Cluster {
     let budget = Budget { elections: 1, proposals: 1, failures: 0, replacements: 0 };
-    let mut interleaving = Interleaving::new(Cluster::with_leader(3, 0, budget).with_bug(bug));
-    interleaving.take(Step::Propose(0));
-    interleaving.take(Step::CompleteWrite(0));
-    interleaving.accepted_by(2);
+    let mut interleaving = Interleaving::with_proposal_accepted_by(2, 3, budget, bug);
     interleaving.take(Step::StartElection(1));
     interleaving.cluster
 }
@@ -119,6 +116,15 @@
         Self { cluster, violation: None }
     }
 
+    /// Node 0 leads `members` nodes, and counts its proposal on one other beside itself.
+    fn with_proposal_accepted_by(voter: usize, members: usize, budget: Budget, bug: ProtocolBug) -> Self {
+        let mut interleaving = Self::new(Cluster::with_leader(members, 0, budget).with_bug(bug));
+        interleaving.take(Step::Propose(0));
+        interleaving.take(Step::CompleteWrite(0));
+        interleaving.accepted_by(voter);
+        interleaving
+    }
+
     fn take(&mut self, step: Step) {
         if self.cluster.enabled_steps().contains(&step) {
             let violation = self.cluster.apply(step);
@@ -153,10 +159,7 @@
 /// then it leads with nodes that never saw the proposal. Node 2 accepts the proposal before or after it learns of the new membership.
 fn violation_by_vote_of_lost_disk(members: usize, acceptance: Acceptance) -> Option<String> {
     let budget = Budget { elections: 1, proposals: 1, failures: 1, replacements: 1 };
-    let mut interleaving = Interleaving::new(Cluster::with_leader(members, 0, budget));
-    interleaving.take(Step::Propose(0));
-    interleaving.take(Step::CompleteWrite(0));
-    interleaving.accepted_by(1);
+    let mut interleaving = Interleaving::with_proposal_accepted_by(1, members, budget, ProtocolBug::None);
     interleaving.take(Step::LoseDisk(1));
     interleaving.take(Step::DecideMembership { replaced: 1, successor: 1 });
     if acceptance == Acceptance::BeforeMembership {
@@ -277,10 +280,7 @@
 /// has the proposal, not knowing that it is committed; then it leads with node 2.
 fn violation_by_state_transfer(bug: ProtocolBug) -> Option<String> {
     let budget = Budget { elections: 1, proposals: 1, failures: 1, replacements: 1 };
-    let mut interleaving = Interleaving::new(Cluster::with_leader(3, 0, budget).with_bug(bug));
-    interleaving.take(Step::Propose(0));
-    interleaving.take(Step::CompleteWrite(0));
-    interleaving.accepted_by(1);
+    let mut interleaving = Interleaving::with_proposal_accepted_by(1, 3, budget, bug);
     interleaving.take(Step::LoseDisk(0));
     interleaving.take(Step::DecideMembership { replaced: 0, successor: 0 });
     interleaving.adopted_by_all(3);
