Tests: a termination notice alone, and a length that stands twice

Taking the two mechanisms out of a scratch copy left the tests that name them green: the notice came together with the state 'draining', and the two lengths were a length and chunks. Each has a test of its own now, beside the ones there were; both pass with the code as it is.

--- a/cli/tests/system_draining.rs
+++ b/cli/tests/system_draining.rs
@@ -104,6 +104,14 @@
     assert!(scene.wait_until_only("i-2", 200) < Duration::from_secs(3));
 }
 
+/// The platform names the time at which a server ends before it lists it as draining.
+#[test]
+fn ready_server_with_a_termination_notice_gets_no_new_requests() {
+    let mut scene = Scene::new("za", &usual());
+    scene.change(|first, _| first["remaining_ms"] = json!(60_000));
+    assert!(scene.wait_until_only("i-2", 200) < Duration::from_secs(3));
+}
+
 #[test]
 fn draining_server_completes_its_requests() {
     let cluster = TestCluster::new();
--- a/cli/tests/system_requests.rs
+++ b/cli/tests/system_requests.rs
@@ -512,6 +512,20 @@
     assert_eq!(server.count(), 0);
 }
 
+/// Where two lengths are the same, too, the request may have been put together by another program on the way.
+#[test]
+fn request_with_content_length_twice_reaches_no_server() {
+    let cluster = TestCluster::new();
+    let server = cluster.server(("i-1", "s", "za"), |received| ok(received, b"here"));
+    let _served = cluster.serving(&[&server], &usual());
+    let text = "POST /unsafe/x HTTP/1.1\r\nHost: h.example\r\nIvyhatch-Attempt-Id: a\r\nContent-Length: 2\r\n\
+                Content-Length: 2\r\n\r\nab";
+    let mut client = Client::to(cluster.at(ROUTER, FRONT));
+    client.write(text.as_bytes());
+    assert_eq!(client.try_head().map(|head| head.status), Some(400));
+    assert_eq!(server.count(), 0);
+}
+
 #[test]
 fn stalled_and_disconnected_clients_delay_nothing() {
     let cluster = TestCluster::new();
