--- a/cli/tests/system_requests.rs
+++ b/cli/tests/system_requests.rs
@@ -445,6 +445,23 @@
     gate.open();
 }
 
+/// Its client would wait for longer.
+#[test]
+fn request_at_a_silent_server_ends_at_its_routes_timeout() {
+    let cluster = TestCluster::new();
+    let gate = std::sync::Arc::new(Gate::default());
+    let held = gate.clone();
+    let server = cluster.server(("i-1", "s", "za"), move |_| vec![Step::Wait(held.clone())]);
+    let route = json!({"route_kind": "unsafe", "timeout_ms": 700});
+    let _served = cluster.serving(&[&server], &configuration(1, &[("unsafe", route)]));
+    let began = Instant::now();
+    let answer = ask(cluster.at(ROUTER, FRONT), &request("r1", "POST", "/unsafe/x", "", b""));
+    assert!(matches!(answer.head.status, 502 | 504), "it may have run: {answer:?}");
+    let took = began.elapsed();
+    assert!(took > Duration::from_millis(500) && took < Duration::from_millis(1500), "{took:?}");
+    gate.open();
+}
+
 #[test]
 fn malformed_request_reaches_no_server() {
     let cluster = TestCluster::new();
