Test of a termination notice: in both directions

One client alone is served by one server for long, so that the test passed in half of the runs with the mechanism taken out.

--- a/cli/tests/system_draining.rs
+++ b/cli/tests/system_draining.rs
@@ -110,6 +110,12 @@
     let mut scene = Scene::new("za", &usual());
     scene.change(|first, _| first["remaining_ms"] = json!(60_000));
     assert!(scene.wait_until_only("i-2", 200) < Duration::from_secs(3));
+    // Whichever of the two is preferred: the first is back, as another incarnation, and the other one has notice.
+    scene.change(|first, second| {
+        (first["remaining_ms"], first["id"]) = (json!(null), json!("i-3"));
+        second["remaining_ms"] = json!(60_000);
+    });
+    assert!(scene.wait_until_only("i-1", 200) < Duration::from_secs(3));
 }
 
 #[test]
