Test: a server is left within half a second of its client

The test that names it showed only that nothing is resumed, and passed with the cancellation taken out. This one has the server report when its connection ends, before its answer and within a stream; seen failing with the cancellation out.

--- a/cli/tests/system_common/server.rs
+++ b/cli/tests/system_common/server.rs
@@ -1,6 +1,6 @@
 //! A server that responds to each request by a test's script.
 
-use std::io::{BufReader, Write};
+use std::io::{BufReader, Read, Write};
 use std::net::{Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::mpsc::{Receiver, Sender, channel};
 use std::sync::{Arc, Mutex};
@@ -33,6 +33,8 @@
 pub enum Step {
     Write(Vec<u8>),
     Wait(Arc<Gate>),
+    /// Waits until the router closes the connection, and reports it.
+    AwaitClose(Sender<()>),
     /// Ends the connection.
     Close,
     /// Ends the connection with a reset.
@@ -117,6 +119,11 @@
                     }
                 }
                 Step::Wait(gate) => gate.wait(),
+                Step::AwaitClose(closed) => {
+                    let _ = writer.read(&mut [0]);
+                    let _ = closed.send(());
+                    return;
+                }
                 Step::Close => {
                     let _ = writer.shutdown(Shutdown::Both);
                     return;
--- a/cli/tests/system_streams.rs
+++ b/cli/tests/system_streams.rs
@@ -4,6 +4,8 @@
 mod system_common;
 
 use std::sync::Arc;
+use std::sync::mpsc::channel;
+use std::time::Duration;
 
 use serde_json::{Value, json};
 use system_common::calls::{Broken, Client, Head, request};
@@ -345,3 +347,24 @@
         "nothing is resumed for a disconnected client"
     );
 }
+
+/// Whether it has begun to answer or not: nobody waits for the rest.
+#[test]
+fn server_is_left_within_half_a_second_of_its_client() {
+    let (sender, closed) = channel();
+    let scene = Scene::new(move |turn, received| match turn {
+        0 => vec![Step::AwaitClose(sender.clone())],
+        _ => then(part(received, 1..=1), [Step::AwaitClose(sender.clone())]),
+    });
+    for (id, has_begun) in [("r1", false), ("r2", true)] {
+        let mut client = scene.client();
+        client.write(&asks(id, "again", ""));
+        last_event_ids(&scene.servers, 1);
+        if has_begun {
+            client.head();
+            assert_eq!(client.chunk(), Some(event(1).into_bytes()));
+        }
+        drop(client);
+        assert_eq!(closed.recv_timeout(Duration::from_millis(500)), Ok(()), "{id}");
+    }
+}
