--- a/system/src/control/admin_api.rs
+++ b/system/src/control/admin_api.rs
@@ -11,6 +11,7 @@
 use tokio::task::yield_now;
 use tokio::time::timeout;
 
+use super::call_statistics::CallKind;
 use super::host::Host;
 use super::status;
 use crate::http_server::{self, HttpRequest, HttpResponse};
@@ -34,6 +35,8 @@
 enum Call {
     /// `GET /-/status`, answered from this node's own knowledge.
     Status,
+    /// `GET /-/metrics`, the numbers of answered calls.
+    Metrics,
     /// A request that the state machine decides on.
     Decide(AdminRequest),
 }
@@ -58,14 +61,22 @@
     }
 }
 
-/// Responds to an operator's request. Dropping the future cancels the request.
+/// Responds to a call, and counts it. Dropping the future cancels the request.
 pub async fn respond(host: Rc<Host>, request: HttpRequest) -> HttpResponse {
-    match route(&host, &request) {
+    let (kind, method) = (CallKind::of_path(&request.path()), request.method.clone());
+    let response = dispatch(&host, request).await;
+    host.call_statistics.borrow_mut().record(kind, &method, response.status());
+    response
+}
+
+async fn dispatch(host: &Rc<Host>, request: HttpRequest) -> HttpResponse {
+    match route(host, &request) {
         Ok(Call::Status) => {
             let report = host.query(ControlPlane::report);
             http_server::json(StatusCode::OK, status::to_json(&report))
         }
-        Ok(Call::Decide(request)) => decide(host, request).await,
+        Ok(Call::Metrics) => http_server::text(host.call_statistics.borrow().to_string()),
+        Ok(Call::Decide(request)) => decide(host.clone(), request).await,
         Err(invalid) => http_server::error(invalid.status(), &invalid.to_string()),
     }
 }
@@ -88,6 +99,7 @@
 fn route(host: &Host, request: &HttpRequest) -> Result<Call, InvalidCall> {
     match (&request.method, request.path().as_slice()) {
         (&Method::GET, ["-", "status"]) => Ok(Call::Status),
+        (&Method::GET, ["-", "metrics"]) => Ok(Call::Metrics),
         (&Method::GET, ["-", "config"]) => Ok(Call::Decide(AdminRequest::Read)),
         (&Method::PUT | &Method::PATCH, ["-", "config"]) => write_request(request).map(Call::Decide),
         (&Method::POST | &Method::DELETE, ["-", "evacuations", zone]) => {
--- a/system/src/control/host.rs
+++ b/system/src/control/host.rs
@@ -12,15 +12,20 @@
 use ivyhatch_control::{ControlPlane, Input, NodeConfig, Output, RequestId};
 use ivyhatch_protocol::peer::AdminResponse;
 use ivyhatch_protocol::settings::Settings;
+use ivyhatch_protocol::{Nanos, SECOND};
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::sync::{Notify, oneshot};
 
+use super::call_statistics::CallStatistics;
 use super::watch_sessions::WatchSessions;
 use crate::clock::Clock;
 use crate::disk::Disk;
 use crate::outgoing::OutgoingConnections;
 use crate::settings_reload::PeriodicReload;
 
+/// Interval between two log lines with the numbers of answered calls.
+const CALLS_LOG_INTERVAL: Nanos = 5 * SECOND;
+
 /// The state machine and what its outputs address.
 pub struct Host {
     /// The settings of the process.
@@ -29,6 +34,9 @@
     pub watch_sessions: WatchSessions,
     /// Resolves once the state machine has handed over all that it leads: the process may end.
     pub shutdown_complete: Notify,
+    /// The calls that the control listener has answered.
+    pub call_statistics: RefCell<CallStatistics>,
+    calls_logged_at: Cell<Nanos>,
     control_plane: RefCell<ControlPlane>,
     clock: Clock,
     peers: Rc<OutgoingConnections>,
@@ -63,6 +71,8 @@
         Self {
             watch_sessions: WatchSessions::new(settings.limits.link_bytes_per_second()),
             shutdown_complete: Notify::new(),
+            call_statistics: RefCell::default(),
+            calls_logged_at: Cell::new(clock.now()),
             control_plane: RefCell::new(ControlPlane::new(node_config, stored, clock.now())),
             clock,
             peers: Rc::new(OutgoingConnections::new(clock, settings.ip, settings.peer_ports.0)),
@@ -137,6 +147,18 @@
         }
     }
 
+    /// Logs the numbers of answered calls, where there were any since the last time.
+    pub fn log_calls_if_due(&self) {
+        let now = self.clock.now();
+        if now < self.calls_logged_at.get() + CALLS_LOG_INTERVAL {
+            return;
+        }
+        self.calls_logged_at.set(now);
+        if let Some(fields) = self.call_statistics.borrow_mut().take_log_fields() {
+            log::info!("event=calls {fields}");
+        }
+    }
+
     /// Takes seeds from the settings file while no quorum can be reached.
     pub fn reload_seeds_without_quorum(self: &Rc<Self>) {
         if self.query(ControlPlane::has_quorum) {
--- a/system/src/control/mod.rs
+++ b/system/src/control/mod.rs
@@ -3,6 +3,7 @@
 //! `ivyhatch-control` decides; this module's parts carry out what it decides. All tasks run in one thread and share the [`host::Host`].
 
 mod admin_api;
+mod call_statistics;
 mod directory_api;
 mod host;
 mod instance_list_reader;
@@ -83,6 +84,7 @@
     spawn_local(ticker::run_ticks(move || {
         ticking.handle_input(Input::Tick);
         ticking.reload_seeds_without_quorum();
+        ticking.log_calls_if_due();
     }));
     loop {
         tokio::select! {
--- a/system/src/http_server.rs
+++ b/system/src/http_server.rs
@@ -74,6 +74,13 @@
     response
 }
 
+/// A response with plain text.
+pub fn text(body: String) -> HttpResponse {
+    let mut response = Response::new(Full::new(Bytes::from(body)));
+    response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("text/plain; charset=utf-8"));
+    response
+}
+
 /// An error response, whose text says what is wrong and what to do.
 pub fn error(status: StatusCode, text: &str) -> HttpResponse {
     json(status, serde_json::json!({ "error": text }).to_string())
