--- a/cli/tests/system_common/mod.rs
+++ b/cli/tests/system_common/mod.rs
@@ -54,6 +54,7 @@
     folder: TempDir,
     pub platform: Platform,
     retry_budget: RetryBudget,
+    contracts: Vec<&'static str>,
 }
 
 /// The retry budget of the settings.
@@ -74,6 +75,13 @@
         Self::with_retry_budget(AMPLE_RETRY_BUDGET)
     }
 
+    /// A cluster whose applications take locks, numbers and cells.
+    pub fn with_coordination() -> Self {
+        let mut cluster = Self::new();
+        cluster.contracts.push("coord");
+        cluster
+    }
+
     /// A cluster with this retry budget.
     pub fn with_retry_budget(retry_budget: RetryBudget) -> Self {
         static NEXT: AtomicU32 = AtomicU32::new(0);
@@ -85,7 +93,15 @@
             }
         };
         let platform = Platform::at(Ipv4Addr::new(127, network.0, network.1, 2));
-        Self { network, _claim: claim, folder: tempfile::tempdir().unwrap(), platform, retry_budget }
+        let contracts = vec!["base"];
+        Self {
+            network,
+            _claim: claim,
+            folder: tempfile::tempdir().unwrap(),
+            platform,
+            retry_budget,
+            contracts,
+        }
     }
 
     pub fn ip(&self, host: u8) -> Ipv4Addr {
@@ -117,7 +133,7 @@
             "listen": {"front": at(FRONT), "readiness": at(READINESS), "control": at(CONTROL), "directory": at(DIRECTORY)},
             "inner_ports": [INNER, INNER + 15], "seeds": seeds, "first_start": first_start, "counted": true,
             "limits": {"cpu_share": 0.45, "cores": 1, "memory_mb": 260, "max_fds": 4100, "disk_mb": 64},
-            "discovery": "cloud_api", "entry": "directory", "beat_ms": 1200, "contracts": ["base"], // wire name
+            "discovery": "cloud_api", "entry": "directory", "beat_ms": 1200, "contracts": self.contracts, // wire name
             "tolerate": {"machines": usize::from(seeds.len() > 1)},
             "bounds": {"contact_ms": 4000, "drain_ms": 3000, "grace_s": 8, "budget_ratio": self.retry_budget.ratio, "budget_window_s": 10,
                 "budget_slack": self.retry_budget.slack, "cold_excess": 1.5, "cold_slack": 5, "evacuate_ms": 5000, "ttl_max_s": 5},
--- a/cli/tests/system_coordination.rs
+++ b/cli/tests/system_coordination.rs
@@ -30,7 +30,7 @@
 
 #[test]
 fn a_lock_a_number_and_a_cell_are_answered_by_every_node_on_a_calm_day() {
-    let cluster = TestCluster::new();
+    let cluster = TestCluster::with_coordination();
     let _core = cluster.core();
     let mut last_number = 0;
     for host in CORE {
--- a/control/src/consensus/configuration_registers.rs
+++ b/control/src/consensus/configuration_registers.rs
@@ -150,7 +150,12 @@
                 state.document.other_fields.insert(name.clone(), json);
             }
             RegisterKey::AppliedRequest(_) => applied.push(decoded(value)?),
-            RegisterKey::Zone(_) | RegisterKey::Membership | RegisterKey::Undecodable => return None,
+            RegisterKey::Zone(_)
+            | RegisterKey::Membership
+            | RegisterKey::Undecodable
+            | RegisterKey::Lock(_)
+            | RegisterKey::Cell(_)
+            | RegisterKey::CellEvent(_) => return None,
         }
     }
     applied.sort_unstable_by_key(|request| request.number);
--- a/control/src/consensus/elections.rs
+++ b/control/src/consensus/elections.rs
@@ -34,8 +34,11 @@
             let is_eligible = view.local.is_voter() && view.has_quorum();
             return is_eligible.then(|| penalty(view.can_read_server_list, view.is_draining));
         }
-        let can_lead =
-            |heartbeat: &&Heartbeat| heartbeat.status == ReplicaStatus::Voter && heartbeat.has_quorum;
+        let has_partition =
+            |heartbeat: &Heartbeat| !partition.is_coordination() || heartbeat.supports_coordination();
+        let can_lead = |heartbeat: &&Heartbeat| {
+            heartbeat.status == ReplicaStatus::Voter && heartbeat.has_quorum && has_partition(heartbeat)
+        };
         let heartbeat = view.current_heartbeat(node).filter(can_lead)?;
         Some(penalty(heartbeat.can_read_server_list, heartbeat.draining))
     };
--- a/control/src/consensus/partitions.rs
+++ b/control/src/consensus/partitions.rs
@@ -25,7 +25,12 @@
 
 impl Partitions {
     /// The partitions with what the disk holds of them.
-    pub fn new(node: NodeId, incarnation: u64, mut stored: BTreeMap<PartitionId, Acceptor>) -> Self {
+    pub fn new(
+        node: NodeId,
+        incarnation: u64,
+        has_coordination: bool,
+        mut stored: BTreeMap<PartitionId, Acceptor>,
+    ) -> Self {
         let mut replica = |partition| {
             let acceptor = stored.remove(&partition).unwrap_or_default();
             PartitionReplica::new(node, incarnation, acceptor)
@@ -34,14 +39,22 @@
             node,
             incarnation,
             membership: replica(PartitionId::MEMBERSHIP),
-            replicas: PartitionId::all().map(|partition| (partition, replica(partition))).collect(),
-            states: PartitionId::all()
+            replicas: PartitionId::control()
+                .chain(PartitionId::coordination().filter(|_| has_coordination))
+                .map(|partition| (partition, replica(partition)))
+                .collect(),
+            states: PartitionId::control()
                 .map(|partition| (partition, PartitionState::empty(partition)))
                 .collect(),
             proposed_states: BTreeMap::new(),
         }
     }
 
+    /// The partitions with durable state that this node has, in ascending order.
+    pub fn ids(&self) -> Vec<PartitionId> {
+        self.replicas.keys().copied().collect()
+    }
+
     /// The consensus of a partition; `None` for an unknown one.
     pub fn replica(&self, partition: PartitionId) -> Option<&PartitionReplica> {
         match partition {
@@ -119,7 +132,7 @@
         self.replicas.get(&partition).map_or(0, PartitionReplica::committed_sequence)
     }
 
-    /// The sequence numbers of all partitions that hold state, in the order of [`PartitionId::all`].
+    /// The sequence numbers of all partitions that hold state, in the order of [`PartitionId::all`]; 0 for none.
     pub fn committed_sequences(&self) -> impl Iterator<Item = u64> {
         self.replicas.values().map(PartitionReplica::committed_sequence)
     }
--- a/control/src/control_plane/consensus.rs
+++ b/control/src/control_plane/consensus.rs
@@ -53,7 +53,16 @@
         if partition == PartitionId::MEMBERSHIP {
             self.replace_voters();
         }
-        self.decide_requests(partition);
+        self.decide_next(partition);
+    }
+
+    /// Decides what waits before this node, where it leads the partition and more may be proposed now.
+    fn decide_next(&mut self, partition: PartitionId) {
+        if partition.is_coordination() {
+            self.decide_calls(partition);
+        } else {
+            self.decide_requests(partition);
+        }
     }
 
     /// Carries out what a partition wants done, in order.
@@ -86,10 +95,16 @@
     }
 
     /// Whether a node understands messages that carry registers; `None` before a message of it has shown that.
-    fn known_support(&self, node: NodeId) -> Option<bool> {
+    pub(super) fn known_support(&self, node: NodeId) -> Option<bool> {
         if node == self.config.node { Some(true) } else { self.peers.supports_registers(node) }
     }
 
+    /// Whether a node is known to have a partition: releases before coordination can't decode what is in its partitions.
+    pub(super) fn has_partition(&self, node: NodeId, partition: PartitionId) -> bool {
+        let is_own = node == self.config.node && self.config.has_coordination;
+        !partition.is_coordination() || is_own || self.peers.supports_coordination(node)
+    }
+
     /// Whether a node is known to understand messages that carry registers.
     pub(super) fn supports_registers(&self, node: NodeId) -> bool {
         self.known_support(node) == Some(true)
@@ -98,6 +113,9 @@
     /// A consensus message in the form that its receiver understands; `None` where there is none. Before the receiver's first message
     /// that form is not known: the message counts as lost, and is sent again by the one who waits for its answer.
     fn envelope(&self, to: NodeId, partition: PartitionId, message: ConsensusMessage) -> Option<Envelope> {
+        if !self.has_partition(to, partition) {
+            return None;
+        }
         let message = match self.known_support(to)? {
             true => message,
             false => {
@@ -121,7 +139,13 @@
     }
 
     /// Sends a message to several other nodes.
-    fn send_to_voters(&mut self, voters: Vec<NodeId>, partition: PartitionId, message: &ConsensusMessage) {
+    fn send_to_voters(
+        &mut self,
+        mut voters: Vec<NodeId>,
+        partition: PartitionId,
+        message: &ConsensusMessage,
+    ) {
+        voters.retain(|voter| self.has_partition(*voter, partition));
         let (voters, of_earlier_releases): (Vec<NodeId>, Vec<NodeId>) =
             voters.into_iter().partition(|voter| self.supports_registers(*voter));
         let generation = self.replica.generation();
@@ -134,7 +158,7 @@
 
     /// Starts elections for the partitions that this node should lead, and steps down from the others.
     pub(super) fn run_elections(&mut self) {
-        for partition in PartitionId::all() {
+        for partition in self.partitions.ids() {
             let should_lead = self.is_leader(partition);
             let is_waiting = self.election_backoff.is_waiting(self.now, partition);
             let Some(replica) = self.partitions.replica_mut(partition) else { continue };
@@ -154,8 +178,12 @@
 
     fn on_stepped_down(&mut self, partition: PartitionId) {
         self.outbox.log(LogEvent::SteppedDown { partition });
-        self.partitions.clear_proposed_state(partition);
-        self.requests.stepped_down(partition);
+        if partition.is_coordination() {
+            self.on_calls_stepped_down(partition);
+        } else {
+            self.partitions.clear_proposed_state(partition);
+            self.requests.stepped_down(partition);
+        }
         let order_index = elections::order_index(&self.view(), partition);
         self.election_backoff.stepped_down(self.now, partition, order_index);
     }
@@ -168,10 +196,19 @@
             CommitRecord::Learned(update) => Record::Learned(partition, update),
         };
         // A node without a disk follows what is committed and keeps nothing.
-        if self.replica.id().is_some() {
-            self.outbox.store(vec![record]);
+        let has_disk = self.replica.id().is_some();
+        match record {
+            // Nothing is said by the commits of applications' changes alone: they go to the disk with the next write, as a sync for each
+            // would double what each call costs.
+            Record::Committed(..) if has_disk && partition.is_coordination() => {
+                self.outbox.store_deferred(record);
+            }
+            record if has_disk => drop(self.outbox.store(vec![record])),
+            _ => {}
+        }
+        if !partition.is_coordination() {
+            self.publish_committed(partition);
         }
-        self.publish_committed(partition);
         let Some(committed) =
             self.partitions.replica(partition).map(|replica| replica.acceptor().committed())
         else {
@@ -183,6 +220,9 @@
         let message = ConsensusMessage::Commit { ballot: committed.ballot, sequence: committed.sequence };
         let generation = self.replica.generation();
         self.broadcast(&PeerMessage::Consensus { generation, partition, message });
+        if partition.is_coordination() {
+            return self.on_calls_committed(partition, committed.sequence);
+        }
         if self.partitions.accepted_sequence(partition) == committed.sequence {
             self.partitions.clear_proposed_state(partition);
         }
--- a/control/src/control_plane/mod.rs
+++ b/control/src/control_plane/mod.rs
@@ -2,6 +2,7 @@
 //!
 //! Each part has its own module, state and tests, and knows nothing of this one. The joins are here, one module for each concern.
 
+mod calls;
 mod consensus;
 mod peers;
 mod reconfiguration;
@@ -9,12 +10,16 @@
 mod server_list;
 mod watchers;
 
+use std::collections::BTreeMap;
+
 use ivyhatch_protocol::Nanos;
 use ivyhatch_protocol::hash::hash_mix;
 use ivyhatch_protocol::ids::{Ballot, NodeId, PartitionId, ReplicaId};
 use ivyhatch_protocol::peer::{AcceptorState, Membership, PeerMessage, ReplicaStatus, TransferredState};
 use ivyhatch_protocol::server_list::ServerList;
 
+use crate::calls::call_queue::CallQueue;
+use crate::calls::pending_calls::PendingCalls;
 use crate::consensus::catch_up::CatchUp;
 use crate::consensus::elections::{self, ElectionBackoff};
 use crate::consensus::partition_state::PartitionState;
@@ -67,6 +72,8 @@
     election_backoff: ElectionBackoff,
     catch_up: CatchUp,
     requests: AdminRequests,
+    pending_calls: PendingCalls,
+    call_queues: BTreeMap<PartitionId, CallQueue>,
     feed: ChangeFeed,
     server_list: ServerListRole,
     routers: RouterRegistry,
@@ -85,7 +92,8 @@
             membership: stored.membership,
             joined: stored.joined,
         });
-        let mut partitions = Partitions::new(config.node, config.incarnation, stored.partitions);
+        let mut partitions =
+            Partitions::new(config.node, config.incarnation, config.has_coordination, stored.partitions);
         let voters: Vec<NodeId> = replica.voter_nodes().collect();
         // Nothing leads yet that could step down.
         partitions.set_voters(&voters);
@@ -104,6 +112,11 @@
             election_backoff: ElectionBackoff::default(),
             catch_up: CatchUp::default(),
             requests: AdminRequests::new(config.incarnation),
+            pending_calls: PendingCalls::default(),
+            call_queues: PartitionId::coordination()
+                .filter(|_| config.has_coordination)
+                .map(|partition| (partition, CallQueue::default()))
+                .collect(),
             feed: ChangeFeed::default(),
             server_list: ServerListRole::new(config.server_list_interval),
             routers: RouterRegistry::default(),
@@ -119,7 +132,7 @@
     /// Publishes what the disk holds as committed, so that watchers need not wait for a quorum. They are sent along that this node
     /// has no quorum yet.
     fn publish_stored(&mut self) {
-        for partition in PartitionId::all() {
+        for partition in PartitionId::control() {
             if self.partitions.committed_sequence(partition) > 0 {
                 self.publish_committed(partition);
             }
@@ -137,6 +150,8 @@
             Input::Stored(token) => self.on_stored(token),
             Input::Admin(id, request) => self.on_admin_request(id, request),
             Input::AdminCancelled(id) => self.requests.cancel(id),
+            Input::Call(id, call) => self.on_call(id, call),
+            Input::CallCancelled(id) => self.on_call_cancelled(id),
             Input::Watch(session, request) => self.on_watch_request(session, request),
             Input::SessionClosed(session) => self.on_session_closed(session),
             Input::ServerList(read, servers) => self.on_server_list_read(read, servers),
@@ -166,11 +181,13 @@
         self.run_elections();
         self.expire_requests();
         self.route_pending_requests();
+        self.tick_calls();
         self.tick_server_list_role();
         self.maintain_watch_sessions();
         self.update_quorum_contact();
         self.send_heartbeat_if_due();
         self.complete_drain();
+        self.outbox.flush_deferred();
     }
 
     fn on_peer_message(&mut self, from: NodeId, message: PeerMessage) {
@@ -198,6 +215,12 @@
             PeerMessage::ForwardResponse { request_id, response } => {
                 self.on_forwarded_response(request_id, response);
             }
+            PeerMessage::ForwardCall { request_id, last_heartbeat, call } => {
+                self.on_forwarded_call(from, request_id, last_heartbeat, call);
+            }
+            PeerMessage::ForwardCallOutcome { request_id, outcome } => {
+                self.on_forwarded_call_outcome(request_id, outcome);
+            }
             PeerMessage::RouterSessions(routers) => self.routers.apply_report(self.now, from, routers),
             PeerMessage::ServerList(update) => self.on_server_list_change(from, update.into()),
             PeerMessage::ServerListChange(change) => self.on_server_list_change(from, change),
@@ -276,6 +299,11 @@
         self.peers.heartbeat(node).map(|heartbeat| heartbeat.zone.as_str())
     }
 
+    /// Whether applications may take locks, numbers and cells here.
+    pub fn has_coordination(&self) -> bool {
+        self.config.has_coordination
+    }
+
     /// Whether a zone is one of the deployment's.
     pub fn has_zone(&self, zone: &str) -> bool {
         self.config.zones.contains(zone)
--- a/control/src/control_plane/peers.rs
+++ b/control/src/control_plane/peers.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeSet;
 
-use ivyhatch_protocol::ids::{NodeId, PartitionId};
+use ivyhatch_protocol::ids::NodeId;
 use ivyhatch_protocol::peer::{ConsensusMessage, Heartbeat, PeerMessage, ReplicaStatus};
 
 use super::ControlPlane;
@@ -55,7 +55,9 @@
             reachable: self.peers.reachable_nodes(self.now),
             has_quorum: self.has_quorum(),
             can_read_server_list: self.server_list.can_read(self.now),
-            committed: Heartbeat::committed_with_registers(self.partitions.committed_sequences()),
+            committed: Heartbeat::encode_committed(self.config.has_coordination, |partition| {
+                self.partitions.committed_sequence(partition)
+            }),
             server_list: self.server_list.list().position(),
         };
         self.broadcast(&PeerMessage::Heartbeat(heartbeat));
@@ -77,9 +79,9 @@
 
     /// Requests what the other node has committed and this one lacks.
     fn fetch_missing(&mut self, from: NodeId, heartbeat: &Heartbeat) {
-        for (partition, sequence) in PartitionId::all().zip(&heartbeat.committed) {
+        for (partition, sequence) in heartbeat.committed_changes() {
             let after = self.partitions.committed_sequence(partition);
-            if after < *sequence && self.catch_up.begin_request(self.now, partition) {
+            if after < sequence && self.catch_up.begin_request(self.now, partition) {
                 let message = ConsensusMessage::Fetch { committed: Some(after) };
                 self.send_consensus_message(from, partition, message);
             }
--- a/control/src/control_plane/reconfiguration.rs
+++ b/control/src/control_plane/reconfiguration.rs
@@ -120,6 +120,11 @@
         let previous = self.replica.membership().into_iter().flat_map(|membership| &membership.previous);
         for node in previous.map(|voter| voter.replica.node).filter(|node| *node != self.config.node) {
             let committed = committed.clone();
+            // A node of a release before registers is sent another request, which does not ask for the partitions of applications. Its
+            // answer would count as all that the node has: no node is sent that request before its release is known.
+            if self.config.has_coordination && self.known_support(node).is_none() {
+                continue;
+            }
             let request = match self.supports_registers(node) {
                 true => PeerMessage::RegisterTransferRequest { incarnation, generation, committed },
                 false => PeerMessage::StateTransferRequest { incarnation, generation },
@@ -137,7 +142,14 @@
         committed: &[u64],
     ) {
         let Some(disk) = self.transferable_disk(generation) else { return };
-        let partitions = self.partitions.transferred_states(committed);
+        // The states count as all that this replica has: none may be left out to a node that has its partition. What a node has is shown by
+        // its request, or else by its heartbeat, and before that it is sent nothing.
+        let names_all = committed.len() == PartitionId::all().count();
+        if !names_all && self.peers.heartbeat(from).is_none() {
+            return;
+        }
+        let mut partitions = self.partitions.transferred_states(committed);
+        partitions.retain(|(partition, _)| names_all || self.has_partition(from, *partition));
         let message = PeerMessage::RegisterTransfer { incarnation, generation, disk, partitions };
         self.outbox.store_then_send(Vec::new(), [Envelope { to: from, message }]);
     }
@@ -150,10 +162,14 @@
 
     /// The same for a new voter of a release before registers.
     pub(super) fn on_state_transfer_request(&mut self, from: NodeId, incarnation: u64, generation: u64) {
+        if self.peers.supports_coordination(from) {
+            return;
+        }
         let Some(disk) = self.transferable_disk(generation) else { return };
         let whole_state =
             |(partition, acceptor)| (partition, whole_values::whole_state_of(partition, acceptor));
-        let partitions = self.partitions.acceptors().map(whole_state).collect();
+        let control = |(partition, _): &(PartitionId, _)| !partition.is_coordination();
+        let partitions = self.partitions.acceptors().filter(control).map(whole_state).collect();
         let message = PeerMessage::StateTransfer { incarnation, generation, disk, partitions };
         self.outbox.store_then_send(Vec::new(), [Envelope { to: from, message }]);
     }
--- a/control/src/control_plane/requests.rs
+++ b/control/src/control_plane/requests.rs
@@ -155,7 +155,7 @@
         self.confirm_leadership(partition, number);
     }
 
-    fn confirm_leadership(&mut self, partition: PartitionId, number: u64) {
+    pub(super) fn confirm_leadership(&mut self, partition: PartitionId, number: u64) {
         let Some(replica) = self.partitions.replica_mut(partition) else { return };
         let mut effects = Vec::new();
         replica.confirm(number, &mut effects);
@@ -163,6 +163,9 @@
     }
 
     pub(super) fn on_quorum_confirmed(&mut self, partition: PartitionId, number: u64) {
+        if partition.is_coordination() {
+            return self.on_call_confirmed(partition, number);
+        }
         let Some(unconfirmed) = self.requests.confirmed(partition, number) else { return };
         let response = unconfirmed.response.unwrap_or_else(|| match self.feed.document() {
             document if document.revision == 0 => AdminResponse::NotConfigured,
--- a/control/src/interface.rs
+++ b/control/src/interface.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeSet;
 
 use ivyhatch_protocol::Nanos;
+use ivyhatch_protocol::coordination::{Call, CallOutcome};
 use ivyhatch_protocol::ids::NodeId;
 use ivyhatch_protocol::peer::{AdminRequest, AdminResponse, PeerMessage};
 use ivyhatch_protocol::watch::{Server, WatchRequest, WatchResponse};
@@ -11,7 +12,7 @@
 use crate::server_list::reader::ReadId;
 use crate::storage::record::Record;
 
-/// An operator's request. The embedder numbers them, and uses no number twice in a process.
+/// An operator's request, or an application's call. The embedder numbers them, and uses no number twice in a process.
 pub type RequestId = u64;
 /// A watch session, that is, one connection of a router. The embedder numbers them, and uses no number twice in a process.
 pub type SessionId = u64;
@@ -39,6 +40,10 @@
     pub server_list_interval: Nanos,
     /// A draining node waits no longer than this for a successor.
     pub drain_timeout: Nanos,
+    /// Whether the node has the partitions of applications' locks, numbers and cells.
+    pub has_coordination: bool,
+    /// For how long a watch may go on from a revision of cells that it was given.
+    pub cell_history: Nanos,
 }
 
 /// What happens to a control node.
@@ -56,6 +61,10 @@
     Admin(RequestId, AdminRequest),
     /// The operator no longer waits for the response: the request is dropped unless it has been proposed already.
     AdminCancelled(RequestId),
+    /// A call from an application.
+    Call(RequestId, Call),
+    /// The application no longer waits for the outcome: the call is dropped unless it has been proposed already.
+    CallCancelled(RequestId),
     /// A message on a watch session; the first one opens the session.
     Watch(SessionId, WatchRequest),
     /// A watch session has ended.
@@ -83,6 +92,8 @@
     Store(WriteToken, Vec<Record>),
     /// Respond to an operator.
     Respond(RequestId, AdminResponse),
+    /// Respond to an application's call with what became of it.
+    EndCall(RequestId, CallOutcome),
     /// Send a message on a watch session.
     Watch(SessionId, WatchResponse),
     /// Close a watch session.
--- a/control/src/lib.rs
+++ b/control/src/lib.rs
@@ -34,13 +34,15 @@
 //! - [`consensus`]: agreement on one partition ([`consensus::partition`]), what a request does to its value, and who contends for it;
 //! - [`membership`]: the rules, this node's replica, and how a voter is replaced;
 //! - [`liveness`]: heartbeats and the failure detector;
-//! - [`requests`]: operators' requests on their way to the leader and in its queue;
+//! - [`requests`]: operators' requests on their way to the leader and in its queue; [`calls`]: the same for applications' calls, which
+//!   `ivyhatch-coordination` decides on;
 //! - [`watch`]: what routers are sent, their sessions, and the registry of routers;
 //! - [`server_list`]: the platform's list of servers and the role of its reader;
 //! - [`load_aggregator`]: the load that routers have put on servers, summed up for each of them; [`load_exchange`]: its receivers;
 //! - [`storage`]: records and the state that they make up; [`outbox`]: outputs; [`interface`]: the types of the boundary;
 //! - [`ControlPlane`]: owns all of these, and joins them.
 
+pub mod calls;
 pub mod consensus;
 mod control_plane;
 pub mod interface;
--- a/control/src/liveness/failure_detector.rs
+++ b/control/src/liveness/failure_detector.rs
@@ -87,6 +87,11 @@
         self.peers.get(&node)?.supports_registers
     }
 
+    /// Whether a node is known to have the partitions of applications.
+    pub fn supports_coordination(&self, node: NodeId) -> bool {
+        self.heartbeat(node).is_some_and(Heartbeat::supports_coordination)
+    }
+
     /// Adds nodes that another node can reach. They stay known if they send something.
     pub fn discover(&mut self, now: Nanos, nodes: &[NodeId]) {
         let last_received_at = Some(now.saturating_sub(FORGET_TIMEOUT - DISCOVERY_TIMEOUT));
--- a/control/src/log_event.rs
+++ b/control/src/log_event.rs
@@ -94,6 +94,17 @@
         /// The partition.
         partition: PartitionId,
     },
+    /// This node has begun to decide on applications' calls in a partition.
+    CoordinationLeader {
+        /// The partition.
+        partition: PartitionId,
+        /// Locks that are stored.
+        locks: usize,
+        /// Cells that are stored.
+        cells: usize,
+        /// Puts in the history of watches.
+        events: usize,
+    },
     /// A configuration was committed.
     Configuration {
         /// Its revision, as operators number them.
@@ -145,6 +156,7 @@
             Self::StateUndecodable { .. } => "state_undecodable",
             Self::ContentsDiverged { .. } => "contents_diverged",
             Self::SteppedDown { .. } => "stepped_down",
+            Self::CoordinationLeader { .. } => "coordination_leader",
             Self::Configuration { .. } => "configuration",
             Self::ServerListReader { .. } | Self::ServerListReaderSuperseded { .. } => "server_list_reader",
             Self::ServerListReadFailed { .. } => "server_list_read_failed",
@@ -177,6 +189,9 @@
                 write!(f, "partition={} remedy=none_needed_unless_repeated_then_report_it", partition.0)
             }
             Self::SteppedDown { partition } => write!(f, "partition={}", partition.0),
+            Self::CoordinationLeader { partition, locks, cells, events } => {
+                write!(f, "partition={} locks={locks} cells={cells} events={events}", partition.0)
+            }
             Self::Configuration { revision, sequence, ballot } => {
                 write!(f, "revision={revision} sequence={sequence} ballot={ballot}")
             }
--- a/control/src/outbox.rs
+++ b/control/src/outbox.rs
@@ -26,6 +26,8 @@
     loopback: VecDeque<PeerMessage>,
     last_token: WriteToken,
     sent_after_write: BTreeMap<WriteToken, Vec<Envelope>>,
+    /// Records that go to the disk with the next write.
+    deferred: Vec<Record>,
 }
 
 impl Outbox {
@@ -37,6 +39,7 @@
             loopback: VecDeque::new(),
             last_token: 0,
             sent_after_write: BTreeMap::new(),
+            deferred: Vec::new(),
         }
     }
 
@@ -78,14 +81,30 @@
         self.store_then_send(records, None)
     }
 
+    /// Stores a record that no message waits for, with the next write: it costs no sync of its own. The order of records stays.
+    pub fn store_deferred(&mut self, record: Record) {
+        self.deferred.push(record);
+    }
+
+    /// Stores the deferred records, if there are any.
+    pub fn flush_deferred(&mut self) {
+        if !self.deferred.is_empty() {
+            self.store(Vec::new());
+        }
+    }
+
     /// Stores records, and sends a message once they and all earlier ones are durable.
     pub fn store_then_send(
         &mut self,
-        records: Vec<Record>,
+        mut records: Vec<Record>,
         then: impl IntoIterator<Item = Envelope>,
     ) -> WriteToken {
         self.last_token += 1;
         self.sent_after_write.insert(self.last_token, then.into_iter().collect());
+        if !self.deferred.is_empty() {
+            let deferred = std::mem::take(&mut self.deferred);
+            records.splice(..0, deferred);
+        }
         self.push(Output::Store(self.last_token, records));
         self.last_token
     }
--- a/control/src/report.rs
+++ b/control/src/report.rs
@@ -66,7 +66,7 @@
         has_quorum: view.has_quorum(),
         generation: view.local.generation(),
         replicas,
-        partitions: PartitionId::all().map(report_partition).collect(),
+        partitions: partitions.ids().into_iter().map(report_partition).collect(),
     }
 }
 
@@ -117,11 +117,11 @@
 
 /// Adds what a replica reports itself.
 fn with_heartbeat(report: ReplicaReport, partitions: &Partitions, heartbeat: &Heartbeat) -> ReplicaReport {
-    let pairs = partitions.committed_sequences().zip(&heartbeat.committed);
+    let behind = |(partition, theirs)| partitions.committed_sequence(partition).saturating_sub(theirs);
     ReplicaReport {
         status: Some(heartbeat.status),
         is_draining: heartbeat.draining,
-        changes_behind: pairs.map(|(own, theirs)| own.saturating_sub(*theirs)).sum(),
+        changes_behind: heartbeat.committed_changes().map(behind).sum(),
         ..report
     }
 }
--- a/control/src/requests/admin_requests.rs
+++ b/control/src/requests/admin_requests.rs
@@ -41,11 +41,12 @@
         Self {
             last_number: incarnation & INCARNATION_BITS,
             pending: PendingRequests::default(),
-            queues: PartitionId::all().map(|partition| (partition, RequestQueue::default())).collect(),
+            queues: PartitionId::control().map(|partition| (partition, RequestQueue::default())).collect(),
         }
     }
 
-    fn next_number(&mut self) -> u64 {
+    /// A number that no other request or call of any process has.
+    pub fn next_number(&mut self) -> u64 {
         self.last_number += 1;
         self.last_number
     }
--- a/control/src/requests/request_queue.rs
+++ b/control/src/requests/request_queue.rs
@@ -11,9 +11,9 @@
 use crate::interface::RequestId;
 
 /// Who is sent the response to a request.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Requester {
-    /// An operator at this node.
+    /// An operator, or an application, at this node.
     Local(RequestId),
     /// Another node, which has forwarded the request under this id.
     Remote(NodeId, u64),
--- a/control/tests/common/cluster.rs
+++ b/control/tests/common/cluster.rs
@@ -64,6 +64,8 @@
             zones: BTreeSet::from(["zone-1".to_owned()]),
             server_list_interval: SECOND,
             drain_timeout: 6 * SECOND,
+            has_coordination: false,
+            cell_history: 20 * SECOND,
         };
         let incarnation = config.incarnation;
         let plane = ControlPlane::new(config, disk.clone(), self.now);
--- a/control/tests/common/mod.rs
+++ b/control/tests/common/mod.rs
@@ -36,6 +36,8 @@
         zones: BTreeSet::from(["a".to_owned()]),
         server_list_interval: SECOND,
         drain_timeout: DRAIN_TIMEOUT,
+        has_coordination: false,
+        cell_history: 20 * SECOND,
     }
 }
 
@@ -62,7 +64,7 @@
         reachable: (1..=9).map(NodeId).collect(),
         has_quorum: true,
         can_read_server_list: true,
-        committed: Heartbeat::committed_with_registers(PartitionId::all().map(|_| 0)),
+        committed: Heartbeat::encode_committed(false, |_| 0),
         ..Heartbeat::default()
     }
 }
--- a/control/tests/reconfiguration.rs
+++ b/control/tests/reconfiguration.rs
@@ -392,7 +392,7 @@
     };
     let heartbeats = [heartbeat_message(Heartbeat { generation: 2, ..heartbeat(1, 1) })];
     let out = step_and_store(&mut node, 400, &heartbeats);
-    expect_that!(request_committed(&out), some(eq(PartitionId::all().count())));
+    expect_that!(request_committed(&out), some(eq(PartitionId::control().count())));
     step_and_store(&mut node, 500, &[transfer(1, 2, state)]);
     expect_that!(request_committed(&step_and_store(&mut node, 900, &[])), some(eq(0)));
 }
--- a/control/tests/server_list_age.rs
+++ b/control/tests/server_list_age.rs
@@ -265,6 +265,8 @@
             zones: BTreeSet::new(),
             server_list_interval: SERVER_LIST_INTERVAL,
             drain_timeout: 0,
+            has_coordination: false,
+            cell_history: 20 * SECOND,
         };
         let stored: DurableState = this.disk.iter().cloned().collect();
         this.node = Some(ControlPlane::new(config, stored, self.now));
--- a/control/tests/whole_values.rs
+++ b/control/tests/whole_values.rs
@@ -99,10 +99,21 @@
 }
 
 #[gtest]
-fn heartbeat_shows_whether_its_sender_supports_registers() {
-    let committed = PartitionId::all().map(|_| 5);
-    let earlier = Heartbeat { committed: committed.collect(), ..Heartbeat::default() };
-    expect_false!(earlier.supports_registers());
-    let committed = Heartbeat::committed_with_registers(earlier.committed);
-    expect_true!(Heartbeat { committed, ..Heartbeat::default() }.supports_registers());
+fn heartbeat_shows_what_its_sender_supports() {
+    let of = |committed: Vec<u64>| Heartbeat { committed, ..Heartbeat::default() };
+    // Releases before registers, and those before coordination, as they encode it.
+    let whole_values = of(PartitionId::control().map(|_| 5).collect());
+    let registers = of(PartitionId::control().map(|_| 5).chain([1]).collect());
+    let coordination = of(Heartbeat::encode_committed(true, |partition| u64::from(partition.0)));
+    let supported =
+        |heartbeat: &Heartbeat| (heartbeat.supports_registers(), heartbeat.supports_coordination());
+    expect_that!(supported(&whole_values), eq((false, false)));
+    expect_that!(supported(&registers), eq((true, false)));
+    expect_that!(supported(&coordination), eq((true, true)));
+    expect_that!(registers.committed_changes().count(), eq(PartitionId::control().count()));
+    let own_number = |(partition, sequence): (PartitionId, u64)| (u64::from(partition.0), sequence);
+    let changes: Vec<(u64, u64)> = coordination.committed_changes().map(own_number).collect();
+    let expected: Vec<(u64, u64)> =
+        PartitionId::all().map(|partition| u64::from(partition.0)).map(|n| (n, n)).collect();
+    expect_that!(changes, eq(&expected));
 }
--- /dev/null
+++ b/coordination/src/cell.rs
@@ -0,0 +1,151 @@
+//! Cells: small values that are read and written under revisions. The cells of a group share one rising count of revisions.
+
+use std::collections::BTreeMap;
+
+use ivyhatch_protocol::Nanos;
+use ivyhatch_protocol::coordination::{CellEvent, NotStarted, Refusal, Reply, group_of};
+use ivyhatch_protocol::registers::RegisterKey;
+use speedy::{Readable, Writable};
+
+use crate::history::History;
+use crate::limits::MAX_CELL_BYTES;
+use crate::state::{Decision, Publication};
+
+/// The content of the register of a cell.
+#[derive(Clone, Debug, PartialEq, Eq, Readable, Writable)]
+struct CellRegister {
+    value: String,
+    revision: u64,
+}
+
+/// The cells of a partition.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Cells {
+    cells: BTreeMap<String, CellRegister>,
+    /// The last revision of each group.
+    group_revisions: BTreeMap<String, u64>,
+    history: History,
+    bytes: usize,
+}
+
+impl Cells {
+    /// No cells; puts stay in the history for a span.
+    pub fn new(history_span: Nanos) -> Self {
+        Self {
+            cells: BTreeMap::new(),
+            group_revisions: BTreeMap::new(),
+            history: History::new(history_span),
+            bytes: 0,
+        }
+    }
+
+    /// Adds a cell from its register.
+    pub(crate) fn load(&mut self, name: &str, value: &[u8]) -> Option<()> {
+        self.insert(name, CellRegister::read_from_buffer(value).ok()?);
+        Some(())
+    }
+
+    /// Adds a put of the history from its register.
+    pub(crate) fn load_event(&mut self, now: Nanos, slot: u16, value: &[u8]) -> Option<()> {
+        self.history.load(now, slot, value)
+    }
+
+    fn insert(&mut self, name: &str, cell: CellRegister) {
+        let last = self.group_revisions.entry(group_of(name).to_owned()).or_default();
+        *last = cell.revision.max(*last);
+        self.bytes += name.len() + cell.value.len();
+        if let Some(replaced) = self.cells.insert(name.to_owned(), cell) {
+            self.bytes -= name.len() + replaced.value.len();
+        }
+    }
+
+    /// The last revision of a group; 0 before the first put.
+    pub(crate) fn group_revision(&self, group: &str) -> u64 {
+        self.group_revisions.get(group).copied().unwrap_or_default()
+    }
+
+    /// The puts of the last seconds.
+    pub fn history(&self) -> &History {
+        &self.history
+    }
+
+    /// The number of cells.
+    pub fn len(&self) -> usize {
+        self.cells.len()
+    }
+
+    /// Whether there is no cell.
+    pub fn is_empty(&self) -> bool {
+        self.cells.is_empty()
+    }
+
+    /// The revision of the put that gave a cell this value, as far as that is known still.
+    fn revision_of(&self, name: &str, value: &str) -> Option<u64> {
+        let current = self.cells.get(name).filter(|cell| cell.value == value);
+        current.map(|cell| cell.revision).or_else(|| self.history.revision_of(name, value))
+    }
+
+    /// Decides on a put, under the number of its change.
+    pub(crate) fn put(
+        &mut self,
+        now: Nanos,
+        sequence: u64,
+        name: &str,
+        value: &str,
+        expected_revision: Option<u64>,
+    ) -> Decision {
+        // A put that comes again, also after others have replaced its value, has taken effect: it must not conflict with itself.
+        if let Some(revision) = self.revision_of(name, value) {
+            return Decision::reply(Reply::CellPut { revision });
+        }
+        let revision = self.cells.get(name).map_or(0, |cell| cell.revision);
+        if expected_revision.is_some_and(|expected| expected != revision) {
+            return Decision::refuse(Refusal::RevisionConflict { revision });
+        }
+        if self.bytes >= MAX_CELL_BYTES || !self.history.has_room(now) {
+            return Decision::not_started(NotStarted::Overloaded);
+        }
+        let group = group_of(name).to_owned();
+        let revision = self.group_revision(&group) + 1;
+        let cell = CellRegister { value: value.to_owned(), revision };
+        let event = CellEvent { name: name.to_owned(), value: value.to_owned(), revision };
+        let mut changes = self.history.record(now, sequence, event);
+        // Writing to memory can't fail.
+        let register = cell.write_to_vec().unwrap_or_default();
+        changes.push((RegisterKey::Cell(name.to_owned()), Some(register.into())));
+        self.insert(name, cell);
+        Decision::Propose {
+            changes,
+            reply: Reply::CellPut { revision },
+            publication: Some(Publication { group, revision }),
+        }
+    }
+
+    /// Decides on a read.
+    pub(crate) fn read(&self, name: &str) -> Decision {
+        match self.cells.get(name) {
+            Some(CellRegister { value, revision }) => {
+                Decision::reply(Reply::Cell { value: value.clone(), revision: *revision })
+            }
+            None => Decision::refuse(Refusal::NoSuchCell),
+        }
+    }
+
+    /// What a watcher of a group is answered that knows all puts up to `after`, where those up to `committed` may be shown; `None`
+    /// where it has to wait.
+    pub(crate) fn watch(&self, group: &str, after: u64, committed: u64) -> Option<Decision> {
+        if after == 0 {
+            return Some(Decision::reply(Reply::Events { events: Vec::new(), revision: committed }));
+        }
+        if after > committed {
+            return Some(Decision::refuse(Refusal::RevisionAhead { revision: committed }));
+        }
+        if after == committed {
+            return None;
+        }
+        Some(match self.history.events(group, after, committed) {
+            Some(events) => Decision::reply(Reply::Events { events, revision: committed }),
+            None => Decision::refuse(Refusal::HistoryExpired { revision: committed }),
+        })
+    }
+}
--- /dev/null
+++ b/coordination/src/history.rs
@@ -0,0 +1,149 @@
+//! The puts of the last seconds: watches are answered from them, and a put that comes again is recognised by them.
+//!
+//! The history is kept by time: a put leaves it once it is older than its span, by the clock of the leader. A new leader counts the whole
+//! span anew. Each put has a slot in a ring of registers, and the slots of puts that have left are used again, so that the history needs
+//! no register to be removed and is bounded in count and in bytes; a put that finds no slot is rejected before it is begun.
+
+use std::collections::{BTreeMap, HashMap};
+
+use ivyhatch_protocol::Nanos;
+use ivyhatch_protocol::coordination::{CellEvent, group_of};
+use ivyhatch_protocol::registers::RegisterKey;
+use speedy::{Readable, Writable};
+
+use crate::limits::{HISTORY_MARGIN, MAX_HISTORY_BYTES, MAX_HISTORY_EVENTS};
+use crate::state::RegisterChanges;
+
+/// The content of the register of a slot.
+#[derive(Clone, Debug, PartialEq, Eq, Readable, Writable)]
+struct EventRegister {
+    /// The number of the change that made the put: puts leave the history in this order.
+    sequence: u64,
+    event: CellEvent,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+struct Recorded {
+    slot: u16,
+    recorded_at: Nanos,
+    name: String,
+    revision: u64,
+}
+
+/// The last puts of a partition's groups.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct History {
+    span: Nanos,
+    /// By the number of the change.
+    recorded: BTreeMap<u64, Recorded>,
+    /// The puts of each group, by revision.
+    groups: BTreeMap<String, BTreeMap<u64, CellEvent>>,
+    /// The revision of each put, by cell and value.
+    revisions: HashMap<(String, String), u64>,
+    next_new_slot: u16,
+    bytes: usize,
+}
+
+impl History {
+    /// An empty history that keeps puts for a span, and a margin.
+    pub fn new(span: Nanos) -> Self {
+        Self {
+            span: span + HISTORY_MARGIN,
+            recorded: BTreeMap::new(),
+            groups: BTreeMap::new(),
+            revisions: HashMap::new(),
+            next_new_slot: 0,
+            bytes: 0,
+        }
+    }
+
+    /// Adds a put from its register, as if it had been made now.
+    pub(crate) fn load(&mut self, now: Nanos, slot: u16, value: &[u8]) -> Option<()> {
+        let EventRegister { sequence, event } = EventRegister::read_from_buffer(value).ok()?;
+        self.next_new_slot = self.next_new_slot.max(slot + 1);
+        self.insert(now, slot, sequence, event);
+        Some(())
+    }
+
+    fn insert(&mut self, now: Nanos, slot: u16, sequence: u64, event: CellEvent) {
+        let CellEvent { name, value, revision } = event.clone();
+        self.bytes += event_bytes(&event);
+        self.revisions.insert((name.clone(), value), revision);
+        self.groups.entry(group_of(&name).to_owned()).or_default().insert(revision, event);
+        self.recorded.insert(sequence, Recorded { slot, recorded_at: now, name, revision });
+    }
+
+    /// Whether there is room for a put, once those that have had their time are dropped.
+    pub(crate) fn has_room(&self, now: Nanos) -> bool {
+        let is_within_bounds =
+            usize::from(self.next_new_slot) < MAX_HISTORY_EVENTS && self.bytes < MAX_HISTORY_BYTES;
+        is_within_bounds || self.oldest_may_leave(now)
+    }
+
+    fn oldest_may_leave(&self, now: Nanos) -> bool {
+        self.recorded.first_key_value().is_some_and(|(_, oldest)| now >= oldest.recorded_at + self.span)
+    }
+
+    /// Records a put, in the slot of the oldest one where that has had its time. Returns the register to write.
+    pub(crate) fn record(&mut self, now: Nanos, sequence: u64, event: CellEvent) -> RegisterChanges {
+        let slot = self.take_slot(now);
+        let register = EventRegister { sequence, event: event.clone() };
+        // Writing to memory can't fail.
+        let value = register.write_to_vec().unwrap_or_default();
+        self.insert(now, slot, sequence, event);
+        vec![(RegisterKey::CellEvent(slot), Some(value.into()))]
+    }
+
+    fn take_slot(&mut self, now: Nanos) -> u16 {
+        if self.oldest_may_leave(now)
+            && let Some((_, oldest)) = self.recorded.pop_first()
+        {
+            self.forget(&oldest);
+            return oldest.slot;
+        }
+        self.next_new_slot += 1;
+        self.next_new_slot - 1
+    }
+
+    fn forget(&mut self, recorded: &Recorded) {
+        let group = group_of(&recorded.name);
+        let Some(events) = self.groups.get_mut(group) else { return };
+        if let Some(event) = events.remove(&recorded.revision) {
+            self.bytes -= event_bytes(&event);
+            self.revisions.remove(&(event.name, event.value));
+        }
+        if events.is_empty() {
+            self.groups.remove(group);
+        }
+    }
+
+    /// The revision of the put that gave a cell this value, while it is in the history.
+    pub(crate) fn revision_of(&self, name: &str, value: &str) -> Option<u64> {
+        self.revisions.get(&(name.to_owned(), value.to_owned())).copied()
+    }
+
+    /// All puts of a group above `after` and up to `until`, in order; `None` where some of them have left the history.
+    pub(crate) fn events(&self, group: &str, after: u64, until: u64) -> Option<Vec<CellEvent>> {
+        if after >= until {
+            return Some(Vec::new());
+        }
+        let events = self.groups.get(group)?;
+        let found: Vec<CellEvent> = events.range(after + 1..=until).map(|(_, event)| event.clone()).collect();
+        // Revisions of a group have no gaps, so a missing one has left.
+        (found.len() as u64 == until - after).then_some(found)
+    }
+
+    /// The number of puts in the history.
+    pub fn len(&self) -> usize {
+        self.recorded.len()
+    }
+
+    /// Whether the history is empty.
+    pub fn is_empty(&self) -> bool {
+        self.recorded.is_empty()
+    }
+}
+
+fn event_bytes(event: &CellEvent) -> usize {
+    event.name.len() + event.value.len()
+}
--- a/protocol/src/ids.rs
+++ b/protocol/src/ids.rs
@@ -74,6 +74,12 @@
 /// these.
 pub const HASHED_PARTITIONS: u8 = 8;
 
+/// The number of partitions that applications' names are hashed to. They are apart from the others, so that the load of applications
+/// delays no change of the control state, and releases before them never see their registers.
+pub const COORDINATION_PARTITIONS: u8 = 8;
+/// The first of them. The one before is [`PartitionId::MEMBERSHIP`].
+const FIRST_COORDINATION_PARTITION: u8 = HASHED_PARTITIONS + 2;
+
 /// A partition of the control state. Each one is replicated by its own consensus instance and has its own
 /// leader.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Readable, Writable)]
@@ -86,11 +92,32 @@
     /// [`PartitionId::all`].
     pub const MEMBERSHIP: Self = Self(HASHED_PARTITIONS + 1);
 
-    /// The partitions with durable state: the configuration and the hashed ones, in ascending order.
+    /// The partitions with durable state, in ascending order: those of the control state, and those of applications.
     pub fn all() -> impl Iterator<Item = Self> {
+        Self::control().chain(Self::coordination())
+    }
+
+    /// The partitions of the control state: the configuration and the hashed ones, in ascending order.
+    pub fn control() -> impl Iterator<Item = Self> {
         (0..=HASHED_PARTITIONS).map(Self)
     }
 
+    /// The partitions of applications' locks, numbers and cells, in ascending order.
+    pub fn coordination() -> impl Iterator<Item = Self> {
+        (FIRST_COORDINATION_PARTITION..FIRST_COORDINATION_PARTITION + COORDINATION_PARTITIONS).map(Self)
+    }
+
+    /// Whether this is one of [`PartitionId::coordination`].
+    pub fn is_coordination(self) -> bool {
+        self.0 >= FIRST_COORDINATION_PARTITION
+    }
+
+    /// The partition that holds what applications keep under a name: a lock, a number, or a group of cells.
+    pub fn for_coordination(name: &str) -> Self {
+        let index = fnv1a_hash(name.as_bytes()) % u64::from(COORDINATION_PARTITIONS);
+        Self(FIRST_COORDINATION_PARTITION + index as u8)
+    }
+
     /// The partition that holds a key: the name of a service, of a zone or of a singleton role.
     pub fn for_key(key: &str) -> Self {
         Self(1 + (fnv1a_hash(key.as_bytes()) % u64::from(HASHED_PARTITIONS)) as u8)
--- a/protocol/src/lib.rs
+++ b/protocol/src/lib.rs
@@ -4,6 +4,7 @@
 //! - [`ids`]: nodes, replicas, ballots and partitions
 //! - [`peer`]: messages between control nodes
 //! - [`watch`]: messages between control nodes and routers
+//! - [`coordination`]: applications' calls for locks, numbers, cells and watches
 //! - [`registers`]: the contents of a partition of the control state, and updates of them
 //! - [`server_list`]: the versioned list of servers, and its updates
 //! - [`load_exchange`]: datagrams by which routers share the load that they have put on servers
@@ -20,6 +21,7 @@
 
 pub mod compression;
 pub mod configuration;
+pub mod coordination;
 pub mod frame;
 pub mod hash;
 pub mod ids;
--- a/protocol/src/peer/heartbeat.rs
+++ b/protocol/src/peer/heartbeat.rs
@@ -36,25 +36,41 @@
     /// Whether the sender can read the server list from the platform, which makes it eligible for that
     /// singleton role.
     pub can_read_server_list: bool,
-    /// The number of the last committed change of each partition, in the order of
-    /// [`crate::ids::PartitionId::all`]. The receiver fetches changes that are newer than its own. One more
-    /// element, which releases before registers ignore, marks a sender that supports registers.
+    /// The number of the last committed change of each partition of the control state, in the order of
+    /// [`PartitionId::control`]; one element that marks a sender that supports registers; and the same numbers of
+    /// [`PartitionId::coordination`], by a sender that has these partitions. Each release ignores the elements behind those that it
+    /// knows. See [`Heartbeat::committed_changes`].
     pub committed: Vec<u64>,
     /// The position of the sender's server list. A receiver with an older one requests the list.
     pub server_list: ServerListPosition,
 }
 
-/// The element of [`Heartbeat::committed`] behind those of the partitions.
+/// The element of [`Heartbeat::committed`] behind those of the control state.
 const REGISTERS_SUPPORTED: u64 = 1;
 
 impl Heartbeat {
-    /// The content of [`Heartbeat::committed`] of a sender that supports registers.
-    pub fn committed_with_registers(committed: impl IntoIterator<Item = u64>) -> Vec<u64> {
-        committed.into_iter().chain([REGISTERS_SUPPORTED]).collect()
+    /// The content of [`Heartbeat::committed`]: the numbers of the last committed changes of the partitions of the control state, and of
+    /// those of applications, where the sender has them.
+    pub fn encode_committed(has_coordination: bool, committed: impl Fn(PartitionId) -> u64) -> Vec<u64> {
+        let control = PartitionId::control().map(&committed);
+        let coordination = PartitionId::coordination().filter(|_| has_coordination).map(&committed);
+        control.chain([REGISTERS_SUPPORTED]).chain(coordination).collect()
+    }
+
+    /// The number of the last committed change of each partition that the sender knows.
+    pub fn committed_changes(&self) -> impl Iterator<Item = (PartitionId, u64)> {
+        let control = PartitionId::control().zip(self.committed.iter().copied());
+        let behind_mark = self.committed.iter().skip(PartitionId::control().count() + 1).copied();
+        control.chain(PartitionId::coordination().zip(behind_mark))
     }
 
     /// Whether the sender understands consensus messages that carry registers.
     pub fn supports_registers(&self) -> bool {
-        self.committed.get(PartitionId::all().count()) == Some(&REGISTERS_SUPPORTED)
+        self.committed.get(PartitionId::control().count()) == Some(&REGISTERS_SUPPORTED)
+    }
+
+    /// Whether the sender has the partitions of [`PartitionId::coordination`].
+    pub fn supports_coordination(&self) -> bool {
+        self.supports_registers() && self.committed.len() > PartitionId::control().count() + 1
     }
 }
--- a/protocol/src/peer/mod.rs
+++ b/protocol/src/peer/mod.rs
@@ -24,6 +24,7 @@
 pub use self::heartbeat::Heartbeat;
 pub use self::membership::{Membership, ReplicaStatus, Voter, majority};
 pub use self::routers::{RouterChanges, routers_digest};
+use crate::coordination::{Call, CallOutcome};
 use crate::ids::PartitionId;
 use crate::watch::{Router, ServerListChange, ServerListPosition, ServerListUpdate};
 
@@ -123,4 +124,21 @@
     RouterChanges(RouterChanges),
     /// Asks for [`PeerMessage::RouterSessions`]: a digest has shown that a change was missed.
     RouterSessionsRequest,
+    /// An application's call, from the node that received it to the leader of its partition. Sent only to nodes that support
+    /// coordination, as the two below are; sent again until it is answered or times out.
+    ForwardCall {
+        /// Random id of the call, returned with the outcome. No other request of any process has it.
+        request_id: u64,
+        /// See [`PeerMessage::ForwardRequest`].
+        last_heartbeat: u64,
+        /// The call.
+        call: Call,
+    },
+    /// What became of a forwarded call.
+    ForwardCallOutcome {
+        /// The id of the call.
+        request_id: u64,
+        /// The outcome.
+        outcome: CallOutcome,
+    },
 }
--- a/protocol/src/registers/key.rs
+++ b/protocol/src/registers/key.rs
@@ -31,4 +31,10 @@
     Membership,
     /// A value of an earlier release that this one can't decode, as it was stored.
     Undecodable,
+    /// A lock that is held, by its name.
+    Lock(String),
+    /// A cell, by its name.
+    Cell(String),
+    /// A put of the history that watches are answered from, in a ring of such slots.
+    CellEvent(u16),
 }
--- a/protocol/src/settings/bounds.rs
+++ b/protocol/src/settings/bounds.rs
@@ -32,6 +32,9 @@
     /// The longest time for which clients may cache an answer of the directory, in seconds.
     #[serde(rename = "ttl_max_s")]
     pub max_directory_ttl_s: f64,
+    /// For how long a watch may go on from a revision of cells that it was given, in seconds.
+    #[serde(rename = "history_s")]
+    pub cell_history_s: f64,
 }
 
 impl Default for Bounds {
@@ -45,6 +48,7 @@
             warm_up_rate_factor: 1.0,
             warm_up_rate_slack: 0.0,
             max_directory_ttl_s: 5.0,
+            cell_history_s: 20.0,
         }
     }
 }
--- a/protocol/src/settings/mod.rs
+++ b/protocol/src/settings/mod.rs
@@ -48,6 +48,9 @@
     1.0
 }
 
+/// The contract by which applications coordinate, as [`Settings::contracts`] names it.
+const COORDINATION_CONTRACT: &str = "coord";
+
 /// The settings of a process.
 #[derive(Clone, Debug, Deserialize)]
 pub struct Settings {
@@ -88,6 +91,9 @@
     /// The bounds that the deployment has to keep.
     #[serde(default)]
     pub bounds: Bounds,
+    /// The parts of the platform's contract that are in force in the deployment; `None` in files that do not say.
+    #[serde(default)]
+    pub contracts: Option<Vec<String>>,
     /// The platform's API for the list of servers.
     pub cloud_api: CloudApi,
 }
@@ -140,6 +146,13 @@
         select(&self.listen).ok_or_else(|| SettingsError::MissingAddress { field, role: self.role.clone() })
     }
 
+    /// Whether applications of the deployment may take locks, numbers and cells.
+    pub fn has_coordination(&self) -> bool {
+        self.contracts
+            .as_ref()
+            .is_none_or(|contracts| contracts.iter().any(|name| name == COORDINATION_CONTRACT))
+    }
+
     /// The region of a zone; the zone's own name if the settings don't list it.
     pub fn region_of<'a>(&'a self, zone: &'a str) -> &'a str {
         self.zones.get(zone).map_or(zone, String::as_str)
--- a/simulation/src/run/describe.rs
+++ b/simulation/src/run/describe.rs
@@ -38,6 +38,10 @@
             format!("router changes {} and {}", changes.upsert.len(), changes.removed.len())
         }
         PeerMessage::RouterSessionsRequest => "router sessions request".to_owned(),
+        PeerMessage::ForwardCall { request_id, call, .. } => format!("forward {request_id} {call:?}"),
+        PeerMessage::ForwardCallOutcome { request_id, outcome } => {
+            format!("forwarded {request_id} {outcome:?}")
+        }
     }
 }
 
--- a/simulation/src/run/observation.rs
+++ b/simulation/src/run/observation.rs
@@ -26,7 +26,7 @@
     /// Shows the oracle what a node has in effect, as far as it has changed.
     pub(super) fn observe_node(&mut self, machine: usize) {
         self.observe_membership(machine);
-        for partition in PartitionId::all() {
+        for partition in PartitionId::control() {
             self.observe_partition(machine, partition);
         }
         self.observe_server_list(machine);
--- a/simulation/src/run/processes.rs
+++ b/simulation/src/run/processes.rs
@@ -99,6 +99,8 @@
             zones: (0..ZONE_COUNT).map(zone_name).collect(),
             server_list_interval: SERVER_LIST_INTERVAL,
             drain_timeout: SHUTDOWN_GRACE,
+            has_coordination: false,
+            cell_history: 20 * SECOND,
         }
     }
 
--- a/system/src/control/admin_api.rs
+++ b/system/src/control/admin_api.rs
@@ -12,6 +12,7 @@
 use tokio::time::timeout;
 
 use super::call_statistics::CallKind;
+use super::coordination_api;
 use super::host::Host;
 use super::status;
 use crate::http_server::{self, HttpRequest, HttpResponse};
@@ -70,6 +71,9 @@
 }
 
 async fn dispatch(host: &Rc<Host>, request: HttpRequest) -> HttpResponse {
+    if coordination_api::is_coordination(&request.path()) {
+        return coordination_api::respond(host.clone(), request).await;
+    }
     match route(host, &request) {
         Ok(Call::Status) => {
             let report = host.query(ControlPlane::report);
--- a/system/src/control/call_statistics.rs
+++ b/system/src/control/call_statistics.rs
@@ -42,7 +42,7 @@
     }
 }
 
-/// The methods that are told apart.
+/// The methods that are distinguished.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Display)]
 #[strum(serialize_all = "lowercase")]
 enum CallMethod {
--- a/system/src/control/host.rs
+++ b/system/src/control/host.rs
@@ -10,6 +10,7 @@
 use ivyhatch_control::server_list::reader::ReadId;
 use ivyhatch_control::storage::durable_state::DurableState;
 use ivyhatch_control::{ControlPlane, Input, NodeConfig, Output, RequestId};
+use ivyhatch_protocol::coordination::CallOutcome;
 use ivyhatch_protocol::peer::AdminResponse;
 use ivyhatch_protocol::settings::Settings;
 use ivyhatch_protocol::{Nanos, SECOND};
@@ -41,7 +42,8 @@
     clock: Clock,
     peers: Rc<OutgoingConnections>,
     admin_requests: RefCell<BTreeMap<RequestId, oneshot::Sender<AdminResponse>>>,
-    /// The last id of a session or an operator's request.
+    calls: RefCell<BTreeMap<RequestId, oneshot::Sender<CallOutcome>>>,
+    /// The last id of a session, an operator's request or a call.
     last_id: Cell<u64>,
     disk: Option<Disk>,
     list_reads: UnboundedSender<ReadId>,
@@ -77,6 +79,7 @@
             clock,
             peers: Rc::new(OutgoingConnections::new(clock, settings.ip, settings.peer_ports.0)),
             admin_requests: RefCell::default(),
+            calls: RefCell::default(),
             last_id: Cell::new(0),
             disk,
             list_reads,
@@ -104,6 +107,7 @@
                 None => log::error!("event=data_dir_missing remedy=give_the_role_machines_with_a_disk"),
             },
             Output::Respond(id, response) => self.respond(id, response),
+            Output::EndCall(id, outcome) => self.end_call(id, outcome),
             Output::Watch(id, message) => self.watch_sessions.send(id, &message),
             Output::CloseSession(id) => self.watch_sessions.close(id),
             // Its receiver is dropped only with the process.
@@ -147,6 +151,29 @@
         }
     }
 
+    /// Registers an application's call; its outcome comes on the receiver.
+    pub fn register_call(&self) -> (RequestId, oneshot::Receiver<CallOutcome>) {
+        let (sender, outcome) = oneshot::channel();
+        let id = self.next_id();
+        self.calls.borrow_mut().insert(id, sender);
+        (id, outcome)
+    }
+
+    /// Forgets a call, and cancels it where it was not answered.
+    pub fn cancel_call(self: &Rc<Self>, id: RequestId) {
+        let was_pending = self.calls.borrow_mut().remove(&id).is_some();
+        if was_pending {
+            self.handle_input(Input::CallCancelled(id));
+        }
+    }
+
+    fn end_call(&self, id: RequestId, outcome: CallOutcome) {
+        if let Some(sender) = self.calls.borrow_mut().remove(&id) {
+            // A caller that has disconnected meanwhile needs no response.
+            let _ = sender.send(outcome);
+        }
+    }
+
     /// Logs the numbers of answered calls, where there were any since the last time.
     pub fn log_calls_if_due(&self) {
         let now = self.clock.now();
--- a/system/src/control/mod.rs
+++ b/system/src/control/mod.rs
@@ -4,6 +4,7 @@
 
 mod admin_api;
 mod call_statistics;
+mod coordination_api;
 mod directory_api;
 mod host;
 mod instance_list_reader;
--- a/system/src/control/node_config.rs
+++ b/system/src/control/node_config.rs
@@ -32,6 +32,8 @@
         zones: settings.zones.keys().cloned().collect(),
         server_list_interval: poll_interval(settings),
         drain_timeout: shutdown_timeout(settings),
+        has_coordination: settings.has_coordination(),
+        cell_history: cell_history(settings),
     }
 }
 
@@ -54,6 +56,11 @@
     milliseconds as u64 * MILLISECOND
 }
 
+/// For how long watches may go on from a revision.
+fn cell_history(settings: &Settings) -> Nanos {
+    Duration::try_from_secs_f64(settings.bounds.cell_history_s).unwrap_or_default().as_nanos() as Nanos
+}
+
 /// Time that a shutdown may take.
 fn shutdown_timeout(settings: &Settings) -> Nanos {
     let grace = Duration::try_from_secs_f64(settings.bounds.shutdown_grace_s).unwrap_or_default();
--- a/system/src/http_server.rs
+++ b/system/src/http_server.rs
@@ -93,6 +93,13 @@
     response
 }
 
+/// A 429 that asks for another attempt in a moment.
+pub fn too_many_requests(text: &str) -> HttpResponse {
+    let mut response = error(StatusCode::TOO_MANY_REQUESTS, text);
+    response.headers_mut().insert(RETRY_AFTER, HeaderValue::from_static(RETRY_AFTER_SECONDS));
+    response
+}
+
 /// Serves requests for as long as it is polled; never returns.
 pub async fn serve<F: Future<Output = HttpResponse> + 'static>(
     listener: TcpListener,
