Callers in the simulation, their oracle, 14 injected bugs; tests of the queue and of calls in flight

Callers take locks, renew, release and lose them, take numbers, put, read and watch cells while processes, disks, links and members fail.

--- a/control/src/control_plane/calls.rs
+++ b/control/src/control_plane/calls.rs
@@ -24,7 +24,7 @@
     pub(super) fn on_call(&mut self, id: RequestId, call: Call) {
         let forward_id = self.requests.next_number();
         self.pending_calls.insert(self.now, id, forward_id, call);
-        if !self.has_quorum() {
+        if !self.config.has_coordination || !self.has_quorum() {
             // No leader can be reached from here: the caller learns so at once, and turns to another node.
             let ended = self.pending_calls.give_up(id);
             return self.end_calls(ended);
--- /dev/null
+++ b/control/tests/calls.rs
@@ -0,0 +1,209 @@
+//! Applications' calls in a cluster in virtual time: any node takes them, and they outlast leaders, restarts, disks and members.
+
+#[path = "common/cluster.rs"]
+mod cluster;
+
+use cluster::Cluster;
+use googletest::prelude::*;
+use ivyhatch_control::storage::durable_state::DurableState;
+use ivyhatch_protocol::coordination::{Call, CallOutcome, NotStarted, Refusal, Reply};
+use ivyhatch_protocol::ids::PartitionId;
+use ivyhatch_protocol::peer::{AdminRequest, AdminResponse};
+use ivyhatch_protocol::{MILLISECOND, Nanos, SECOND};
+
+fn acquire(holder: &str, hold_ms: u64) -> Call {
+    Call::AcquireLock { name: "l".to_owned(), holder: holder.to_owned(), hold_ms }
+}
+
+fn number() -> Call {
+    Call::NextNumber { name: "n".to_owned() }
+}
+
+fn put(value: &str) -> Call {
+    Call::PutCell { name: "g.a".to_owned(), value: value.to_owned(), expected_revision: None }
+}
+
+fn watch(after: u64, wait_ms: u64) -> Call {
+    Call::WatchGroup { group: "g.".to_owned(), after, wait_ms }
+}
+
+/// The value of the next number, at a node.
+fn next_number(cluster: &mut Cluster, node: u32) -> u64 {
+    match cluster.call(node, number()) {
+        CallOutcome::Applied(Reply::Number { value }) => value,
+        other => panic!("{other:?}"),
+    }
+}
+
+fn fence(outcome: &CallOutcome) -> Option<u64> {
+    match outcome {
+        CallOutcome::Applied(Reply::LockAcquired { fence }) => Some(*fence),
+        _ => None,
+    }
+}
+
+fn shown(outcome: &CallOutcome) -> Option<(usize, u64)> {
+    match outcome {
+        CallOutcome::Applied(Reply::Events { events, revision }) => Some((events.len(), *revision)),
+        _ => None,
+    }
+}
+
+#[gtest]
+fn any_node_takes_a_call_and_numbers_rise_across_nodes() {
+    let mut cluster = Cluster::with_coordination();
+    let mut last = 0;
+    for node in [1, 2, 3, 2, 1, 3] {
+        let value = next_number(&mut cluster, node);
+        expect_that!(value, gt(last));
+        last = value;
+    }
+}
+
+#[gtest]
+fn what_was_acknowledged_outlasts_the_loss_of_all_processes() {
+    let mut cluster = Cluster::with_coordination();
+    let value = next_number(&mut cluster, 1);
+    let given = fence(&cluster.call(2, acquire("a", 1_000))).expect("it is free");
+    cluster.call(3, put("one"));
+    let disks: Vec<DurableState> = (1..=3).map(|node| cluster.stop(node)).collect();
+    for (node, disk) in (1..=3).zip(disks) {
+        cluster.start(node, node, disk, false);
+    }
+    cluster.run_until("the group is back", |cluster| (1..=3).all(|node| cluster.plane(node).has_quorum()));
+    // Since when the lock is held nobody knows: it is held for its whole time from now on.
+    expect_that!(cluster.call(1, acquire("b", 1_000)), eq(&CallOutcome::Refused(Refusal::LockHeld)));
+    let back_at = cluster.now();
+    cluster.run_until("its time is over", |cluster| cluster.now() > back_at + 1_100 * MILLISECOND);
+    expect_that!(fence(&cluster.call(1, acquire("b", 1_000))), some(gt(given)));
+    expect_that!(next_number(&mut cluster, 2), gt(value));
+    let read = Call::ReadCell { name: "g.a".to_owned() };
+    let one = CallOutcome::Applied(Reply::Cell { value: "one".to_owned(), revision: 1 });
+    expect_that!(cluster.call(3, read), eq(&one));
+    expect_that!(shown(&cluster.call(2, watch(0, 0))), some(eq((0, 1))));
+}
+
+#[gtest]
+fn a_wiped_disk_and_a_new_member_take_nothing_back() {
+    let mut cluster = Cluster::with_coordination();
+    let mut last = 0;
+    for node in 1..=3 {
+        for _ in 0..5 {
+            last = next_number(&mut cluster, 1);
+        }
+        cluster.call(2, put(&format!("before {node}")));
+        cluster.stop(node);
+        cluster.start(node, node, DurableState::default(), false);
+        cluster.run_until("it votes again", |cluster| {
+            cluster.votes(node) && (1..=3).all(|node| cluster.plane(node).has_quorum())
+        });
+        expect_that!(next_number(&mut cluster, node), gt(last));
+        let history = cluster.call(node, watch(1, 0));
+        expect_that!(shown(&history), some(eq((node as usize - 1, u64::from(node)))), "{history:?}");
+    }
+}
+
+#[gtest]
+fn a_watch_at_any_node_wakes_for_a_put_at_any_other() {
+    let mut cluster = Cluster::with_coordination();
+    cluster.call(1, put("one"));
+    for node in 1..=3 {
+        let after = u64::from(node);
+        let id = cluster.begin_call(node, watch(after, 5_000));
+        let held_until = cluster.now() + 200 * MILLISECOND;
+        cluster.run_until("it is held", |cluster| cluster.now() >= held_until);
+        expect_that!(cluster.outcome(id), none());
+        cluster.call(node % 3 + 1, put(&format!("after {node}")));
+        cluster.run_until("it wakes", |cluster| cluster.outcome(id).is_some());
+        expect_that!(shown(cluster.outcome(id).expect("it is there")), some(eq((1, after + 1))));
+        expect_that!(cluster.now(), lt(held_until + SECOND));
+    }
+}
+
+#[gtest]
+fn a_held_watch_goes_on_at_the_next_leader() {
+    let mut cluster = Cluster::with_coordination();
+    cluster.call(1, put("one"));
+    let partition = put("").partition();
+    let leads = |cluster: &Cluster, node: u32| cluster.plane(node).leader_ballot(partition).is_some();
+    let leader = (1..=3).find(|node| leads(&cluster, *node)).expect("one leads");
+    let others: Vec<u32> = (1..=3).filter(|node| *node != leader).collect();
+    let id = cluster.begin_call(others[0], watch(1, 8_000));
+    let held_until = cluster.now() + 200 * MILLISECOND;
+    cluster.run_until("it is held", |cluster| cluster.now() >= held_until);
+    cluster.stop(leader);
+    cluster.run_until("another leads", |cluster| others.iter().any(|node| leads(cluster, *node)));
+    cluster.call_until_clear(others[1], put("two"));
+    cluster.run_until("it wakes", |cluster| cluster.outcome(id).is_some());
+    expect_that!(shown(cluster.outcome(id).expect("it is there")), some(eq((1, 2))));
+}
+
+#[gtest]
+fn a_node_without_a_quorum_says_at_once_that_nothing_was_done() {
+    let mut cluster = Cluster::with_coordination();
+    next_number(&mut cluster, 1);
+    cluster.stop(2);
+    cluster.stop(3);
+    cluster.run_until("it sees that", |cluster| !cluster.plane(1).has_quorum());
+    let asked_at = cluster.now();
+    expect_that!(cluster.call(1, number()), eq(&CallOutcome::NotStarted(NotStarted::NoQuorum)));
+    expect_that!(cluster.now(), eq(asked_at));
+}
+
+#[gtest]
+fn a_call_in_flight_at_a_leader_that_is_gone_is_not_denied() {
+    let mut cluster = Cluster::with_coordination();
+    next_number(&mut cluster, 1);
+    let partition = number().partition();
+    let leader = (1..=3).find(|node| cluster.plane(*node).leader_ballot(partition).is_some());
+    let leader = leader.expect("one leads");
+    let asked = leader % 3 + 1;
+    let id = cluster.begin_call(asked, number());
+    for node in (1..=3).filter(|node| *node != asked) {
+        cluster.stop(node);
+    }
+    cluster.run_until("it ends", |cluster| cluster.outcome(id).is_some());
+    expect_that!(cluster.outcome(id), some(eq(&CallOutcome::Unknown)));
+}
+
+/// Has a configuration committed, and returns how long that takes.
+fn configure(cluster: &mut Cluster, revision: u64) -> Nanos {
+    let asked_at = cluster.now();
+    let body = format!(r#"{{"revision":{revision},"services":[],"routes":[]}}"#).into_bytes();
+    let response = cluster.request(2, AdminRequest::Put { base: revision - 1, body });
+    expect_that!(response, eq(&AdminResponse::Applied { revision }));
+    cluster.now() - asked_at
+}
+
+#[gtest]
+fn calls_do_not_hold_up_the_configuration() {
+    let mut cluster = Cluster::with_coordination();
+    // Leaders and connections are warm by the third.
+    configure(&mut cluster, 1);
+    configure(&mut cluster, 2);
+    let undisturbed = configure(&mut cluster, 3);
+    let waiting: Vec<_> = (0..300).map(|_| cluster.begin_call(1, number())).collect();
+    expect_that!(configure(&mut cluster, 4), eq(undisturbed));
+    cluster.run_until("all are answered", |cluster| waiting.iter().all(|id| cluster.outcome(*id).is_some()));
+    let mut values: Vec<u64> = Vec::new();
+    for id in waiting {
+        match cluster.outcome(id) {
+            Some(CallOutcome::Applied(Reply::Number { value })) => values.push(*value),
+            other => panic!("{other:?}"),
+        }
+    }
+    values.sort_unstable();
+    values.dedup();
+    expect_that!(values, len(eq(300)));
+}
+
+#[gtest]
+fn a_node_without_these_partitions_leads_none_of_them() {
+    let mut cluster = Cluster::bootstrapped();
+    let id = cluster.begin_call(1, number());
+    cluster.run_until("it ends", |cluster| cluster.outcome(id).is_some());
+    expect_that!(cluster.outcome(id), some(eq(&CallOutcome::NotStarted(NotStarted::NoQuorum))));
+    for partition in PartitionId::coordination() {
+        expect_that!(cluster.plane(1).leader_ballot(partition), none());
+    }
+}
--- a/control/tests/common/cluster.rs
+++ b/control/tests/common/cluster.rs
@@ -4,6 +4,7 @@
 
 use ivyhatch_control::storage::durable_state::DurableState;
 use ivyhatch_control::{ControlPlane, Input, NodeConfig, Output, Record, RequestId, WriteToken};
+use ivyhatch_protocol::coordination::{Call, CallOutcome};
 use ivyhatch_protocol::ids::NodeId;
 use ivyhatch_protocol::peer::{AdminRequest, AdminResponse, PeerMessage, ReplicaStatus};
 use ivyhatch_protocol::{MILLISECOND, Nanos, SECOND};
@@ -28,6 +29,7 @@
 }
 
 /// A cluster. Each node has a zone of its own, except for successors.
+#[allow(dead_code)]
 #[derive(Default)]
 pub struct Cluster {
     now: Nanos,
@@ -36,13 +38,29 @@
     members: BTreeMap<NodeId, Member>,
     starts: u64,
     responses: BTreeMap<RequestId, AdminResponse>,
+    outcomes: BTreeMap<RequestId, CallOutcome>,
     requests: RequestId,
+    has_coordination: bool,
 }
 
+#[allow(dead_code)]
 impl Cluster {
     /// Three nodes with the first membership.
     pub fn bootstrapped() -> Self {
-        let mut cluster = Self::default();
+        Self::default().bootstrap()
+    }
+
+    /// The same, with the partitions of applications.
+    pub fn with_coordination() -> Self {
+        let mut cluster = Self { has_coordination: true, ..Self::default() }.bootstrap();
+        cluster.run_until("all nodes are in contact with a quorum", |cluster| {
+            (1..=3).all(|node| cluster.plane(node).has_quorum())
+        });
+        cluster
+    }
+
+    fn bootstrap(self) -> Self {
+        let mut cluster = self;
         for node in 1..=3 {
             cluster.start(node, node, DurableState::default(), true);
         }
@@ -64,7 +82,7 @@
             zones: BTreeSet::from(["zone-1".to_owned()]),
             server_list_interval: SECOND,
             drain_timeout: 6 * SECOND,
-            has_coordination: false,
+            has_coordination: self.has_coordination,
             cell_history: 20 * SECOND,
         };
         let incarnation = config.incarnation;
@@ -108,6 +126,39 @@
         self.responses.remove(&id).expect("it is answered")
     }
 
+    /// Sends an application's call to a node.
+    pub fn begin_call(&mut self, node: u32, call: Call) -> RequestId {
+        self.requests += 1;
+        let id = self.requests;
+        self.input(NodeId(node), Input::Call(id, call));
+        id
+    }
+
+    /// What became of a call, once it has ended.
+    pub fn outcome(&self, id: RequestId) -> Option<&CallOutcome> {
+        self.outcomes.get(&id)
+    }
+
+    /// Sends an application's call to a node, and returns what became of it.
+    pub fn call(&mut self, node: u32, call: Call) -> CallOutcome {
+        let id = self.begin_call(node, call);
+        self.run_until("the call ends", |cluster| cluster.outcomes.contains_key(&id));
+        self.outcomes.remove(&id).expect("it has ended")
+    }
+
+    /// The same, again and again until the outcome is clear.
+    pub fn call_until_clear(&mut self, node: u32, call: Call) -> CallOutcome {
+        loop {
+            match self.call(node, call.clone()) {
+                CallOutcome::Unknown | CallOutcome::NotStarted(_) => {
+                    let retry_at = self.now + TICK;
+                    self.run_until("a moment passes", |cluster| cluster.now >= retry_at);
+                }
+                outcome => return outcome,
+            }
+        }
+    }
+
     /// Advances time until the condition holds.
     pub fn run_until(&mut self, what: &str, mut done: impl FnMut(&Self) -> bool) {
         let end = self.now + 20 * SECOND;
@@ -165,6 +216,9 @@
                 Output::Respond(id, response) => {
                     self.responses.insert(id, response);
                 }
+                Output::EndCall(id, outcome) => {
+                    self.outcomes.insert(id, outcome);
+                }
                 _ => {}
             }
         }
--- a/simulation/src/hunt/mod.rs
+++ b/simulation/src/hunt/mod.rs
@@ -14,6 +14,8 @@
 
 /// Odd seeds above this one draw plans with further faults ([`Plan::random_extended`]).
 pub const LAST_BASIC_SEED: u64 = 1_000_000;
+/// Seeds above this one draw plans with applications' callers ([`Plan::random_coordination`]).
+pub const LAST_EXTENDED_SEED: u64 = 2_000_000;
 
 /// The distance between the plan seeds of two neighbouring hunt seeds.
 const PLAN_SEEDS_PER_HUNT_SEED: u64 = 1_000_003;
@@ -21,7 +23,11 @@
 /// The plans of a hunt seed, in order and without end.
 pub fn plans(seed: u64) -> impl Iterator<Item = Plan> {
     let is_extended = seed > LAST_BASIC_SEED && seed % 2 == 1;
-    let draw = if is_extended { Plan::random_extended } else { Plan::random };
+    let draw = match (seed > LAST_EXTENDED_SEED, is_extended) {
+        (true, _) => Plan::random_coordination,
+        (false, true) => Plan::random_extended,
+        (false, false) => Plan::random,
+    };
     (0..).map(move |number: u64| draw(seed.wrapping_mul(PLAN_SEEDS_PER_HUNT_SEED).wrapping_add(number)))
 }
 
--- a/simulation/src/injected_bugs.rs
+++ b/simulation/src/injected_bugs.rs
@@ -43,4 +43,32 @@
     #[serde(rename = "TakesResentForNew")] // wire name
     #[strum(serialize = "takes_resent_for_new")] // wire name
     TreatsRetryAsNew,
+    /// A lock is free before its holder's time has run out.
+    FreesLocksEarly,
+    /// All holders are taken for one.
+    TakesHoldersForOne,
+    /// A put takes effect whatever revision it expects.
+    IgnoresExpectedRevision,
+    /// Some puts go to another cell.
+    PutsToOtherCell,
+    /// A watch begins behind the revision that it names.
+    WatchesFromLater,
+    /// A call that may have taken effect ends as not started.
+    DeniesUnknownCalls,
+    /// Some puts take effect and end as a conflict.
+    DeniesPuts,
+    /// A lock that is lost is renewed.
+    RenewsLostLocks,
+    /// A lock that another holds is given out.
+    GrantsHeldLocks,
+    /// Fencing tokens repeat.
+    RepeatsFences,
+    /// Numbers repeat.
+    RepeatsNumbers,
+    /// A watch is not shown the first of several puts.
+    SkipsEvents,
+    /// A conflict names a revision that the cell never had.
+    NamesForeignRevisions,
+    /// Cells are read from a cache that falls behind.
+    ReadsFromCache,
 }
--- a/simulation/src/oracle/invariant.rs
+++ b/simulation/src/oracle/invariant.rs
@@ -77,6 +77,26 @@
     #[serde(rename = "Converges")] // wire name
     #[strum(serialize = "converges")] // wire name
     Convergence,
+    /// At no moment two callers count themselves holder of one lock.
+    MutualExclusion,
+    /// The fencing tokens of a lock rise from holder to holder.
+    FencingOrder,
+    /// The numbers of a name are unique, and above those that were given before they were asked for.
+    NumberOrder,
+    /// The revisions of a group are unique and rise, and a put follows the revision that it expects.
+    RevisionOrder,
+    /// A cell is read at no lower revision than was known before.
+    FreshCellRead,
+    /// A cell shows only what was put to it, under one revision.
+    CellIntegrity,
+    /// A put whose tries were all rejected is never shown.
+    RejectedCallNeverApplied,
+    /// A watch shows each put after its revision, in order.
+    WatchCompleteness,
+    /// A reply is one to its call.
+    CallIntegrity,
+    /// After the last fault calls are answered.
+    CallDeadline,
 }
 
 /// A violated invariant.
--- a/simulation/src/oracle/mod.rs
+++ b/simulation/src/oracle/mod.rs
@@ -1,6 +1,7 @@
 //! The oracle: checks the invariants of the control plane from outside, by what operators receive and what nodes and routers have
 //! in effect. It knows nothing of how the nodes decide. The first violation ends a run.
 
+mod coordination;
 mod deadlines;
 mod final_state;
 mod invariant;
@@ -9,10 +10,13 @@
 
 use std::collections::BTreeMap;
 
+use ivyhatch_protocol::coordination::CallOutcome;
 use ivyhatch_protocol::ids::PartitionId;
 use ivyhatch_protocol::peer::Membership;
 use ivyhatch_protocol::{MILLISECOND, Nanos};
 
+pub use coordination::Try;
+use coordination::{CoordinationOracle, Found};
 pub use deadlines::RouterView;
 pub use final_state::{AppliedState, FinalState, ZoneState};
 pub use invariant::{Invariant, Violation};
@@ -51,10 +55,39 @@
     newest_revision: Option<AcknowledgedRevision>,
     /// The acknowledged state of each zone; none while a request that changes it is in flight.
     evacuations: BTreeMap<usize, AcknowledgedEvacuation>,
+    coordination: CoordinationOracle,
     violation: Option<Violation>,
 }
 
 impl Oracle {
+    /// An oracle for nodes that keep the history of watches for a span.
+    pub fn new(cell_history: Nanos) -> Self {
+        Self { coordination: CoordinationOracle::new(cell_history), ..Self::default() }
+    }
+
+    /// A caller sends a try of a call.
+    pub fn call_sent(&mut self, sent: &Try) {
+        self.coordination.sent(sent);
+    }
+
+    /// A caller receives the outcome of a try that it still waits for.
+    pub fn call_ended(&mut self, ended: &Try, outcome: &CallOutcome) {
+        let checked = self.coordination.ended(self.now, ended, outcome);
+        self.report_found(checked);
+    }
+
+    /// Checks the calls of a whole run.
+    pub fn check_calls(&mut self) {
+        let checked = self.coordination.check_history();
+        self.report_found(checked);
+    }
+
+    fn report_found(&mut self, checked: Result<(), Found>) {
+        if let Err((invariant, text)) = checked {
+            self.report(invariant, text);
+        }
+    }
+
     /// The first violation, if any.
     pub fn violation(&self) -> Option<&Violation> {
         self.violation.as_ref()
--- /dev/null
+++ b/simulation/src/plan/coordination.rs
@@ -0,0 +1,24 @@
+//! Random plans with applications' callers beside the operators: the faults of other plans, and few operations.
+
+use super::Plan;
+use crate::random::Random;
+
+/// The most operations of operators beside the calls.
+const MAX_OPERATIONS: usize = 8;
+/// Keeps the draws of this module apart from those of the plan that it begins with.
+const SEED_MASK: u64 = 0x636f_6f72_6469_6e61;
+
+impl Plan {
+    /// The random plan of a seed with callers.
+    pub fn random_coordination(seed: u64) -> Self {
+        let mut random = Random::new(seed ^ SEED_MASK);
+        let mut plan =
+            if random.chance_percent(50) { Self::random(seed) } else { Self::random_extended(seed) };
+        plan.operations.truncate(MAX_OPERATIONS);
+        plan.callers = random.between(6, 12) as usize;
+        if random.chance_percent(40) {
+            plan.lost_response_percent = random.between(1, 15);
+        }
+        plan
+    }
+}
--- a/simulation/src/plan/generate.rs
+++ b/simulation/src/plan/generate.rs
@@ -58,6 +58,7 @@
             faults: Vec::new(),
             mutation: None,
             lost_response_percent: 0,
+            callers: 0,
         };
         plan.faults = if members == 1 {
             plan.single_member_faults(&mut random)
--- a/simulation/src/plan/mod.rs
+++ b/simulation/src/plan/mod.rs
@@ -3,6 +3,7 @@
 //!
 //! The JSON names are those of recorded runs and stay as they are; where the code has another name, serde renames it.
 
+mod coordination;
 mod extended;
 mod fault;
 mod generate;
@@ -46,6 +47,9 @@
     /// The percentage of responses to operators that are lost until `faults_end_ms`.
     #[serde(default, rename = "lost_answers")] // wire name
     pub lost_response_percent: u64,
+    /// Applications' callers; they are numbered from 0. Without any, nodes have no partitions for them.
+    #[serde(default)]
+    pub callers: usize,
 }
 
 /// An operation and its time. An operator has one operation in flight and retries it until it has a definite response.
--- a/simulation/src/run/checks.rs
+++ b/simulation/src/run/checks.rs
@@ -32,6 +32,7 @@
             server_list_is_read: self.machines.iter().any(Machine::reads_server_list),
         };
         self.oracle.check_final_state(&state);
+        self.oracle.check_calls();
     }
 
     /// The moment from which the core has been stable, if it is now.
--- a/simulation/src/run/event.rs
+++ b/simulation/src/run/event.rs
@@ -2,10 +2,12 @@
 
 use ivyhatch_control::server_list::reader::ReadId;
 use ivyhatch_control::{Input, RequestId, SessionId};
+use ivyhatch_protocol::coordination::{Call, CallOutcome};
 use ivyhatch_protocol::peer::{AdminRequest, AdminResponse, PeerMessage};
 use ivyhatch_protocol::watch::{WatchRequest, WatchResponse};
 
 use super::{CHECK_INTERVAL, Simulation};
+use crate::oracle::Try;
 
 /// A message on a link.
 #[derive(Clone, Debug)]
@@ -97,6 +99,19 @@
         response: AdminResponse,
     },
     RequestTimeout(RequestId),
+    /// A caller may begin its next call.
+    CallDue(usize),
+    CallArrives {
+        id: RequestId,
+        machine: usize,
+        call: Call,
+    },
+    OutcomeArrives {
+        id: RequestId,
+        outcome: CallOutcome,
+    },
+    CallTimeout(RequestId),
+    CallRetried(Try),
     FaultBegins(usize),
     FaultEnds(usize),
     DeadlineCheck,
@@ -141,6 +156,11 @@
             Event::RequestArrives { id, machine, request } => self.request_arrives(id, machine, request),
             Event::ResponseArrives { id, response } => self.response_arrives(id, &response),
             Event::RequestTimeout(id) => self.retry_request(id),
+            Event::CallDue(caller) => self.call_due(caller),
+            Event::CallArrives { id, machine, call } => self.call_arrives(id, machine, call),
+            Event::OutcomeArrives { id, outcome } => self.outcome_arrives(id, &outcome),
+            Event::CallTimeout(id) => self.call_timed_out(id),
+            Event::CallRetried(sent) => self.call_retried(sent),
             Event::FaultBegins(number) => self.begin_fault(number),
             Event::FaultEnds(number) => self.end_fault(number),
             Event::DeadlineCheck => {
--- a/simulation/src/run/mod.rs
+++ b/simulation/src/run/mod.rs
@@ -1,5 +1,7 @@
 //! Plays a plan: one event queue in virtual time, the real state machines behind it, and the oracle beside it.
 
+mod call_corruptions;
+mod callers;
 mod checks;
 mod corruptions;
 mod describe;
@@ -16,6 +18,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
+use ivyhatch_protocol::coordination::CallOutcome;
 use ivyhatch_protocol::ids::NodeId;
 use ivyhatch_protocol::{MILLISECOND, Nanos, SECOND};
 
@@ -24,6 +27,7 @@
 use crate::plan::{FaultTrigger, Plan};
 use crate::random::{Stream, keyed_random};
 
+use callers::Callers;
 use event::Event;
 use machine::Machine;
 use network::{Direction, Links};
@@ -44,6 +48,8 @@
 const ZONE_COUNT: usize = 3;
 /// Seeds in the settings of a node or router, at most.
 const SEED_COUNT: usize = 3;
+/// For how long nodes keep the history of watches, beside their margin: shorter than a run.
+const CELL_HISTORY: Nanos = 2 * SECOND;
 
 /// The result of a run.
 #[derive(Clone, Debug, Default)]
@@ -70,6 +76,9 @@
     routers: Vec<Router>,
     links: Links,
     operators: OperatorClients,
+    callers: Callers,
+    /// For [`InjectedBug::ReadsFromCache`]: the reads of each cell, and the outcome that is given out.
+    cached_reads: BTreeMap<String, (u64, CallOutcome)>,
     oracle: Oracle,
     /// Random numbers drawn in the order of events.
     draws: u64,
@@ -130,7 +139,9 @@
             routers: (0..routers).map(|_| Router::default()).collect(),
             links: Links::new(machines + routers),
             operators: OperatorClients::new(plan.operations.len()),
-            oracle: Oracle::default(),
+            callers: Callers::new(plan.callers),
+            cached_reads: BTreeMap::new(),
+            oracle: Oracle::new(CELL_HISTORY),
             draws: 0,
             slowing_faults: 0,
             last_core_event: 0,
@@ -164,6 +175,7 @@
                 self.schedule_after(at_ms * MILLISECOND, Event::FaultBegins(number));
             }
         }
+        self.schedule_callers();
         self.schedule_after(CHECK_INTERVAL, Event::DeadlineCheck);
     }
 
--- a/simulation/src/run/outputs.rs
+++ b/simulation/src/run/outputs.rs
@@ -72,7 +72,7 @@
                 let delay = (3 + self.random_below(10)) * MILLISECOND;
                 self.schedule_after(delay, Event::ResponseArrives { id, response });
             }
-            Output::EndCall(..) => {}
+            Output::EndCall(id, outcome) => self.send_outcome(machine, id, outcome),
             Output::Watch(session, message) => self.send_to_router(machine, session, message),
             Output::CloseSession(session) => self.close_session(machine, session),
             Output::Drained => self.shutdown_complete(machine),
--- a/simulation/src/run/processes.rs
+++ b/simulation/src/run/processes.rs
@@ -9,7 +9,7 @@
 
 use super::event::Event;
 use super::machine::{LostReplica, ObservedState, may_vote};
-use super::{SEED_COUNT, Simulation, ZONE_COUNT, address};
+use super::{CELL_HISTORY, SEED_COUNT, Simulation, ZONE_COUNT, address};
 use crate::disk::BlockFate;
 use crate::injected_bugs::InjectedBug;
 use crate::random::{Stream, keyed_random};
@@ -99,8 +99,8 @@
             zones: (0..ZONE_COUNT).map(zone_name).collect(),
             server_list_interval: SERVER_LIST_INTERVAL,
             drain_timeout: SHUTDOWN_GRACE,
-            has_coordination: false,
-            cell_history: 20 * SECOND,
+            has_coordination: self.plan.callers > 0,
+            cell_history: CELL_HISTORY,
         }
     }
 
--- /dev/null
+++ b/simulation/tests/coordination.rs
@@ -0,0 +1,71 @@
+//! Whole runs with applications' callers: random plans violate no invariant, and injected bugs are found.
+
+use googletest::prelude::*;
+use ivyhatch_simulation::hunt::{LAST_EXTENDED_SEED, RecordedRun, find_violation, plans};
+use ivyhatch_simulation::{InjectedBug, Invariant, Plan, play};
+
+/// Plans that are played where none may violate an invariant.
+const CLEAN_PLANS: usize = 200;
+/// A bug is found within so many plans.
+const MAX_PLANS: usize = 60;
+/// The same for bugs that show only where a fault comes at a narrow moment.
+const MAX_PLANS_FOR_RARE_BUGS: usize = 1_500;
+
+fn coordination_plans(seed: u64) -> impl Iterator<Item = Plan> {
+    plans(LAST_EXTENDED_SEED + seed)
+}
+
+/// The first run that shows a bug, and the number of plans until then.
+fn first_found(injected_bug: InjectedBug, most: usize) -> Option<(usize, RecordedRun)> {
+    let found = |(number, plan)| Some((number + 1, find_violation(plan, Some(injected_bug))?));
+    coordination_plans(7).take(most).enumerate().find_map(found)
+}
+
+#[gtest]
+fn random_plans_with_callers_violate_no_invariant() {
+    for plan in coordination_plans(1).take(CLEAN_PLANS) {
+        let outcome = play(&plan);
+        assert_that!(outcome.violation, none(), "seed {}", plan.seed);
+    }
+}
+
+#[gtest]
+fn each_injected_bug_of_coordination_is_found() {
+    let bugs = [
+        (InjectedBug::FreesLocksEarly, Invariant::MutualExclusion),
+        (InjectedBug::TakesHoldersForOne, Invariant::MutualExclusion),
+        (InjectedBug::GrantsHeldLocks, Invariant::MutualExclusion),
+        (InjectedBug::RepeatsFences, Invariant::FencingOrder),
+        (InjectedBug::RepeatsNumbers, Invariant::NumberOrder),
+        (InjectedBug::IgnoresExpectedRevision, Invariant::RevisionOrder),
+        (InjectedBug::PutsToOtherCell, Invariant::RevisionOrder),
+        (InjectedBug::NamesForeignRevisions, Invariant::CellIntegrity),
+        (InjectedBug::WatchesFromLater, Invariant::WatchCompleteness),
+        (InjectedBug::SkipsEvents, Invariant::WatchCompleteness),
+        (InjectedBug::DeniesUnknownCalls, Invariant::RejectedCallNeverApplied),
+        (InjectedBug::DeniesPuts, Invariant::RejectedCallNeverApplied),
+        (InjectedBug::ReadsFromCache, Invariant::FreshCellRead),
+    ];
+    for (bug, invariant) in bugs {
+        let (played, run) = first_found(bug, MAX_PLANS).unwrap_or_else(|| panic!("{bug} is not found"));
+        println!("{bug}: after {played} plans: {:?}", run.violation);
+        expect_that!(run.violation.invariant, eq(invariant), "{bug}: {:?}", run.violation);
+    }
+}
+
+#[gtest]
+fn bugs_of_the_consensus_are_found_by_calls_too() {
+    let bugs = [
+        InjectedBug::AcknowledgesBeforeSync,
+        InjectedBug::VotesAfterDiskLoss,
+        InjectedBug::SkipsConfirmation,
+        InjectedBug::AcceptsLowerBallot,
+        InjectedBug::LeadsWithoutElection,
+        InjectedBug::VotesBeforeStateTransfer,
+    ];
+    for bug in bugs {
+        let found = first_found(bug, MAX_PLANS_FOR_RARE_BUGS);
+        println!("{bug}: {:?}", found.as_ref().map(|(played, run)| (played, &run.violation)));
+        expect_that!(found, some(anything()), "{bug}");
+    }
+}
