--- a/cli/tests/soak/mod.rs
+++ b/cli/tests/soak/mod.rs
@@ -1,5 +1,6 @@
 //! A soak: real processes under load whose signals, restarts, replaced servers and changes come in series and overlap, drawn from a seed.
 
+mod applications;
 mod clients;
 mod machines;
 mod operator;
@@ -19,6 +20,7 @@
 use rand::{RngExt, SeedableRng};
 
 use crate::system_common::{FRONT, ROUTER, TestCluster, wait_until};
+use applications::Applications;
 use clients::Shared;
 use machines::Machines;
 use operator::Operator;
@@ -53,6 +55,13 @@
     pub longest_pause: Duration,
 }
 
+/// Calls of applications with a clear answer, and without.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct CallCounts {
+    pub clear: u64,
+    pub unclear: u64,
+}
+
 /// What came of a run.
 pub struct Report {
     pub seed: u64,
@@ -62,6 +71,7 @@
     pub signals: usize,
     pub replaced_servers: usize,
     pub acknowledged_changes: usize,
+    pub calls: CallCounts,
     pub violations: Vec<Violation>,
 }
 
@@ -73,12 +83,14 @@
             formatter,
             "seed {}: {} routers, {} signals, {} servers replaced, {} changes; {requests} requests: {served} served, \
              {refused} refused, {failed} failed; {repeats} repeats, {share:.2} of the budget ({in_window} of {of} requests); \
-             {} violations",
+             {} calls answered, {} not; {} violations",
             self.seed,
             self.scale.routers,
             self.signals,
             self.replaced_servers,
             self.acknowledged_changes,
+            self.calls.clear,
+            self.calls.unclear,
             self.violations.len()
         )
     }
@@ -99,7 +111,7 @@
 /// Plays one seed.
 pub fn run(seed: u64, scale: Scale) -> Report {
     let recorder = Arc::new(Recorder::default());
-    let cluster = Arc::new(TestCluster::with_retry_budget(recorder::BUDGET));
+    let cluster = Arc::new(TestCluster::with_retry_budget(recorder::BUDGET).and_coordination());
     let (mut soak, operator) = Soak::start(seed, scale, &cluster, &recorder);
     let routers = router_hosts(scale).map(|host| (host, cluster.at(host, FRONT))).collect();
     let shared = Arc::new(Shared {
@@ -112,13 +124,15 @@
     let clients: Vec<_> = (0..scale.routers * scale.clients_of_a_router)
         .map(|number| clients::start(&shared, (seed << 20) + number as u64))
         .collect();
+    let applications = Applications::start(&cluster, &recorder, seed);
     let changes = spawn_operator(operator, seed, scale);
     soak.disrupt(scale);
     soak.end_disruptions();
     let mut operator = changes.stop();
     wait_until("the configuration can be read", || operator.is_readable());
     operator.read_back(SETTLE_LIMIT);
-    soak.recover(&recorder);
+    let calls = soak.recover(&recorder, &applications);
+    applications.stop();
     shared.stop.store(true, Ordering::SeqCst);
     clients.into_iter().for_each(|client| client.join().expect("a client ends"));
     soak.machines.report_logs();
@@ -134,6 +148,7 @@
         signals: soak.machines.signals,
         replaced_servers: soak.replaced_servers,
         acknowledged_changes: operator.acknowledged,
+        calls,
         violations: recorder.violations(),
     }
 }
@@ -267,16 +282,28 @@
         self.machines.settle(&mut self.random, SETTLE_LIMIT);
     }
 
-    /// Clients must be served again.
-    fn recover(&mut self, recorder: &Recorder) {
+    /// Clients must be served again, and applications be answered. Returns the calls of the whole run.
+    fn recover(&mut self, recorder: &Recorder, applications: &Applications) -> CallCounts {
         let end = Instant::now() + RECOVERY;
-        while Instant::now() < end {
-            self.advance();
-            thread::park_timeout(TICK);
+        self.advance_until(end - RECOVERED);
+        let (clear_before, unclear_before) = applications.take_counts();
+        self.advance_until(end);
+        let (clear, unclear) = applications.take_counts();
+        if (clear as f64) < MIN_SERVED_PART * (clear + unclear).max(1) as f64 {
+            recorder
+                .report(format!("RECOVER: {clear} calls were answered at the end, and {unclear} were not"));
         }
         let served = recorder.served_part_since(end - RECOVERED);
         if served.is_none_or(|part| part < MIN_SERVED_PART) {
             recorder.report(format!("RECOVER: {served:?} of the last requests were served"));
         }
+        CallCounts { clear: clear_before + clear, unclear: unclear_before + unclear }
+    }
+
+    fn advance_until(&mut self, end: Instant) {
+        while Instant::now() < end {
+            self.advance();
+            thread::park_timeout(TICK);
+        }
     }
 }
--- a/cli/tests/system_common/calls.rs
+++ b/cli/tests/system_common/calls.rs
@@ -87,6 +87,11 @@
         Self::try_to(at).expect("it listens")
     }
 
+    /// An answer that takes longer counts as none.
+    pub fn set_read_timeout(&self, timeout: Duration) {
+        let _ = self.0.get_ref().set_read_timeout(Some(timeout));
+    }
+
     pub fn try_write(&mut self, bytes: &[u8]) -> Option<()> {
         self.0.get_mut().write_all(bytes).ok()
     }
--- a/cli/tests/system_common/mod.rs
+++ b/cli/tests/system_common/mod.rs
@@ -77,9 +77,14 @@
 
     /// A cluster whose applications take locks, numbers and cells.
     pub fn with_coordination() -> Self {
-        let mut cluster = Self::new();
-        cluster.contracts.push("coord");
-        cluster
+        Self::new().and_coordination()
+    }
+
+    /// Has applications take locks, numbers and cells.
+    #[must_use]
+    pub fn and_coordination(mut self) -> Self {
+        self.contracts.push("coord");
+        self
     }
 
     /// A cluster with this retry budget.
--- a/simulation/src/oracle/mod.rs
+++ b/simulation/src/oracle/mod.rs
@@ -15,8 +15,7 @@
 use ivyhatch_protocol::peer::Membership;
 use ivyhatch_protocol::{MILLISECOND, Nanos};
 
-pub use coordination::Try;
-use coordination::{CoordinationOracle, Found};
+pub use coordination::{CoordinationOracle, Found, Try};
 pub use deadlines::RouterView;
 pub use final_state::{AppliedState, FinalState, ZoneState};
 pub use invariant::{Invariant, Violation};
