--- a/cli/tests/system_coordination.rs
+++ b/cli/tests/system_coordination.rs
@@ -61,3 +61,155 @@
         watch["events"].as_array().expect("events").iter().map(|event| &event["name"]).collect();
     assert_eq!(names, ["g.12", "g.13"]);
 }
+
+#[test]
+fn bad_input_is_rejected_with_the_field_and_the_remedy_and_changes_nothing() {
+    let cluster = TestCluster::with_coordination();
+    let _core = cluster.core();
+    let (status, _) =
+        clear_answer(&cluster, 11, "PUT", "/-/cells/g.a", &json!({"value": "kept", "enabled": 0})); // wire name
+    assert_eq!(status, 200);
+    let long = "x".repeat(201);
+    let cases = [
+        ("POST", "/-/locks/l", "no JSON", "body"),
+        ("POST", "/-/locks/l", r#"{"holder":"a","hold_ms":100,"more":1}"#, "more"),
+        ("POST", "/-/locks/l", r#"{"holder":"a"}"#, "hold_ms"),
+        ("POST", "/-/locks/l", r#"{"holder":"a","hold_ms":0}"#, "hold_ms"),
+        ("POST", "/-/locks/l", r#"{"holder":"a","hold_ms":172800000}"#, "renewing"),
+        ("POST", "/-/locks/l", r#"{"holder":"a b","hold_ms":100}"#, "holder"),
+        ("POST", "/-/locks/l%20m", r#"{"holder":"a","hold_ms":100}"#, "name"),
+        ("PUT", "/-/locks/l", r#"{"holder":"a","hold_ms":100}"#, "fence"),
+        ("DELETE", "/-/locks/l", r#"{"holder":"a","fence":-1}"#, "body"),
+        ("POST", "/-/numbers/n", r#"{"count":5}"#, "count"),
+        ("PUT", "/-/cells/g.a", r#"{"value":7}"#, "body"),
+        ("PUT", "/-/cells/g.a", r#"{"value":"v","enabled":"1"}"#, "body"),
+        // A name without a dot is a group of its own, in which there is no put yet.
+        ("GET", "/-/watch/g?after=1", "", "beyond"),
+        ("GET", "/-/watch/g.a?after=1", "", "group"),
+        ("GET", "/-/watch/g.?after=x", "", "after"),
+        ("GET", "/-/watch/g.?after=1&wait_ms=99999999", "", "wait_ms"),
+        ("GET", "/-/watch/g.?after=99", "", "beyond"),
+    ];
+    for (method, path, body, named) in cases {
+        let answer = call(cluster.at(12, CONTROL), method, path, None, body);
+        let (status, answer) = answer.unwrap_or_else(|| panic!("{method} {path} {body}"));
+        let text = answer["error"].as_str().unwrap_or_default();
+        assert_eq!(status, 400, "{method} {path} {body}: {answer}");
+        assert!(text.contains(named), "{method} {path} {body}: {text}");
+    }
+    let path = format!("/-/cells/{long}");
+    let put = json!({"value": "v"});
+    assert_eq!(answer(&cluster, 12, "PUT", &path, &put).map(|(status, _)| status), Some(400));
+    let too_long = json!({"value": "x".repeat(5000)});
+    assert_eq!(answer(&cluster, 12, "PUT", "/-/cells/g.a", &too_long).map(|(status, _)| status), Some(400));
+    assert_eq!(answer(&cluster, 12, "GET", "/-/locks/l", &Value::Null).map(|(status, _)| status), Some(404));
+    let (_, kept) = clear_answer(&cluster, 13, "GET", "/-/cells/g.a", &Value::Null);
+    assert_eq!(kept, json!({"value": "kept", "rev": 1}));
+}
+
+#[test]
+fn a_deployment_without_the_contract_answers_404_and_says_how_to_enable_it() {
+    let cluster = TestCluster::new();
+    let _core = cluster.core();
+    cluster.put(11, 0, &system_common::configuration(1, &[]));
+    let (status, answer) = answer(&cluster, 11, "POST", "/-/numbers/n", &json!({})).expect("an answer");
+    assert_eq!(status, 404);
+    assert!(answer["error"].as_str().is_some_and(|text| text.contains("contracts")), "{answer}");
+}
+
+/// The holder's name of a lock that is acquired at a node, where it is.
+fn acquire(cluster: &TestCluster, host: u8, holder: &str, hold_ms: u64) -> Option<u64> {
+    let body = json!({"holder": holder, "hold_ms": hold_ms});
+    let (status, answer) = answer(cluster, host, "POST", "/-/locks/l", &body)?;
+    (status == 200).then(|| answer["fence"].as_u64().expect("a fencing token"))
+}
+
+#[test]
+fn a_node_that_stood_still_grants_nothing_that_another_has_been_given_meanwhile() {
+    let cluster = TestCluster::with_coordination();
+    let core = cluster.core();
+    let mut last_fence = 0;
+    for (index, stopped) in CORE.into_iter().enumerate() {
+        let others: Vec<u8> = CORE.into_iter().filter(|host| *host != stopped).collect();
+        let mut given = None;
+        wait_until("the first holder has it", || {
+            given = acquire(&cluster, stopped, "first", 400);
+            given.is_some()
+        });
+        assert!(given > Some(last_fence), "{given:?} after {last_fence}");
+        core[index].signal("STOP");
+        wait_until("another has it, once the first one's time is over", || {
+            given = acquire(&cluster, others[0], "second", 60_000);
+            given.is_some()
+        });
+        last_fence = given.expect("it is given");
+        core[index].signal("CONT");
+        // It may not know yet what has happened; what it answers holds all the same.
+        for holder in ["first", "third"] {
+            for _ in 0..5 {
+                assert_eq!(acquire(&cluster, stopped, holder, 400), None, "{holder} at {stopped}");
+            }
+        }
+        let release = json!({"holder": "second", "fence": last_fence});
+        let (status, _) = clear_answer(&cluster, others[1], "DELETE", "/-/locks/l", &release);
+        assert_eq!(status, 200);
+    }
+}
+
+#[test]
+fn a_watch_misses_nothing_while_the_nodes_restart_one_after_another() {
+    let cluster = TestCluster::with_coordination();
+    let mut core = cluster.core();
+    let (status, _) = clear_answer(&cluster, 11, "PUT", "/-/cells/g.first", &json!({"value": "first"}));
+    assert_eq!(status, 200);
+    let is_over = std::sync::atomic::AtomicBool::new(false);
+    let (last_put, seen) = std::thread::scope(|scope| {
+        let watcher = scope.spawn(|| {
+            let (mut after, mut seen) = (1, Vec::new());
+            for host in CORE.into_iter().cycle() {
+                let path = format!("/-/watch/g.?after={after}&wait_ms=500");
+                let answer = answer(&cluster, host, "GET", &path, &Value::Null);
+                let Some((200, answer)) = answer else { continue };
+                seen.extend(
+                    answer["events"].as_array().expect("events").iter().map(|event| event["rev"].clone()),
+                );
+                let was_over = is_over.load(std::sync::atomic::Ordering::SeqCst);
+                if was_over && answer["rev"] == json!(after) {
+                    break;
+                }
+                after = answer["rev"].as_u64().expect("a revision");
+            }
+            seen
+        });
+        let mut last_put = 0;
+        for (index, host) in CORE.into_iter().enumerate() {
+            for number in 0..10 {
+                let put = json!({"value": format!("{host}-{number}")});
+                let (status, answer) =
+                    clear_answer(&cluster, CORE[(index + 1) % 3], "PUT", "/-/cells/g.a", &put);
+                assert!(status == 200 || status == 504, "{answer}");
+                last_put = answer["rev"].as_u64().unwrap_or(last_put);
+            }
+            core[index].signal("TERM");
+            assert!(core[index].end().success());
+            core[index] = cluster.control(host, &CORE, false);
+        }
+        is_over.store(true, std::sync::atomic::Ordering::SeqCst);
+        (last_put, watcher.join().expect("the watcher ends"))
+    });
+    let expected: Vec<Value> = (2..=last_put).map(|revision| json!(revision)).collect();
+    assert_eq!(seen, expected);
+}
+
+#[test]
+fn metrics_count_the_calls_by_their_status() {
+    let cluster = TestCluster::with_coordination();
+    let _core = cluster.core();
+    let (status, _) = clear_answer(&cluster, 11, "POST", "/-/numbers/n", &json!({}));
+    assert_eq!(status, 200);
+    let request = b"GET /-/metrics HTTP/1.1\r\nHost: control\r\n\r\n";
+    let metrics = system_common::calls::ask(cluster.at(11, CONTROL), request);
+    let text = String::from_utf8(metrics.body).expect("text");
+    let line = r#"ivyhatch_control_calls_total{kind="numbers",method="post",status="200"} 1"#;
+    assert!(text.lines().any(|counted| counted == line), "{text}");
+}
