Commands of applications: lock run, cell get, put and watch, number next; golden files of the new messages

lock run renews the lock while its command runs, hands FENCE to it, and ends it before another holder may have the lock. Each command sends its call unchanged to one control node after another until an answer is clear; exit code 4 is a refusal, 5 no clear answer.

--- /dev/null
+++ b/cli/src/coordination/lock_run.rs
@@ -0,0 +1,167 @@
+//! `ivyhatch lock run`: a command that runs while a lock is held.
+//!
+//! The holder's time is counted from when it sent its last good call. A command whose lock can't be renewed gets SIGTERM while there is time
+//! left, and SIGKILL when there is none: another holder may have the lock from then on.
+
+use std::process::ExitCode;
+use std::time::Duration;
+
+use hyper::{Method, StatusCode};
+use rustix::process::{Pid, Signal, kill_process};
+use serde_json::json;
+use tokio::process::{Child, Command};
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::time::{Instant, sleep, sleep_until};
+
+use super::client::{CallError, ControlClient};
+use super::{CALL_LIMIT, REFUSED};
+
+/// The fencing token of the lock, for the command.
+const FENCE_VARIABLE: &str = "FENCE";
+/// A lock that another holds is asked for again after this.
+const ASK_AGAIN: Duration = Duration::from_millis(250);
+/// A lock is renewed when this part of its time is over ...
+const RENEW_AFTER: f64 = 0.33;
+/// ... and the command gets SIGTERM when this part is over without a renewal.
+const TERMINATE_AFTER: f64 = 0.75;
+
+/// The arguments of `ivyhatch lock run`.
+#[derive(Clone, Debug)]
+pub struct LockRun {
+    pub hold_ms: u64,
+    pub holder: Option<String>,
+    pub wait_s: u64,
+    pub name: String,
+    pub command: Vec<String>,
+}
+
+/// A lock that this process holds.
+struct HeldLock {
+    path: String,
+    holder: String,
+    fence: u64,
+    hold: Duration,
+    /// When the last good call was sent.
+    counted_from: Instant,
+}
+
+impl HeldLock {
+    /// The moment when a part of the time is over.
+    fn after(&self, part: f64) -> Instant {
+        self.counted_from + self.hold.mul_f64(part)
+    }
+
+    async fn renew(&mut self, client: &mut ControlClient) -> Result<(), CallError> {
+        let sent_at = Instant::now();
+        let body =
+            json!({"holder": self.holder, "fence": self.fence, "hold_ms": self.hold.as_millis() as u64});
+        let left = self.after(1.0).saturating_duration_since(sent_at);
+        client.call_until_clear(Method::PUT, &self.path, Some(&body), left).await?;
+        self.counted_from = sent_at;
+        Ok(())
+    }
+
+    async fn release(&self, client: &mut ControlClient) {
+        let body = json!({"holder": self.holder, "fence": self.fence});
+        // Where nobody answers, the lock is free when its time is over.
+        let _ = client.call_until_clear(Method::DELETE, &self.path, Some(&body), self.hold).await;
+    }
+}
+
+/// Takes the lock, runs the command, and frees the lock.
+///
+/// # Errors
+/// Where the lock is not given.
+pub async fn run(mut client: ControlClient, arguments: LockRun) -> Result<ExitCode, CallError> {
+    let mut lock = acquire(&mut client, &arguments).await?;
+    let mut command = Command::new(&arguments.command[0]);
+    command.args(&arguments.command[1..]).env(FENCE_VARIABLE, lock.fence.to_string()).kill_on_drop(true);
+    let mut child = match command.spawn() {
+        Ok(child) => child,
+        Err(error) => {
+            lock.release(&mut client).await;
+            let text = format!("{}: {error}", arguments.command[0]);
+            return Ok(crate::exit::report_unusable(text));
+        }
+    };
+    let code = supervise(&mut client, &mut lock, &mut child).await;
+    lock.release(&mut client).await;
+    Ok(code)
+}
+
+async fn acquire(client: &mut ControlClient, arguments: &LockRun) -> Result<HeldLock, CallError> {
+    let holder = arguments
+        .holder
+        .clone()
+        .unwrap_or_else(|| format!("run-{}-{}", std::process::id(), rand::random::<u32>()));
+    let path = format!("locks/{}", arguments.name);
+    let body = json!({"holder": holder, "hold_ms": arguments.hold_ms});
+    let wait_end = Instant::now() + Duration::from_secs(arguments.wait_s);
+    loop {
+        let sent_at = Instant::now();
+        let hold = Duration::from_millis(arguments.hold_ms);
+        match client.call_until_clear(Method::POST, &path, Some(&body), CALL_LIMIT).await {
+            Ok(answer) if sent_at.elapsed() < hold => {
+                let fence = answer["fence"].as_u64().unwrap_or_default();
+                return Ok(HeldLock { path, holder, fence, hold, counted_from: sent_at });
+            }
+            // It came too late to be of use.
+            Ok(_) => {}
+            Err(CallError::Refused { status: StatusCode::CONFLICT, .. }) if Instant::now() < wait_end => {
+                sleep(ASK_AGAIN).await;
+            }
+            Err(error) => return Err(error),
+        }
+    }
+}
+
+/// Renews the lock until the command has ended; ends the command where the lock is lost, and on SIGINT and SIGTERM.
+async fn supervise(client: &mut ControlClient, lock: &mut HeldLock, child: &mut Child) -> ExitCode {
+    let (Ok(mut interrupt), Ok(mut terminate)) =
+        (signal(SignalKind::interrupt()), signal(SignalKind::terminate()))
+    else {
+        return crate::exit::report_unusable("can't handle signals");
+    };
+    let mut is_lost = false;
+    loop {
+        let renew_at = if is_lost { lock.after(1.0) } else { lock.after(RENEW_AFTER) };
+        tokio::select! {
+            status = child.wait() => return exit_code(status.ok().and_then(|status| status.code()), is_lost),
+            _ = interrupt.recv() => send_terminate(child),
+            _ = terminate.recv() => send_terminate(child),
+            () = sleep_until(renew_at) => {
+                if is_lost {
+                    // Its time is over: another may hold the lock.
+                    let _ = child.kill().await;
+                    continue;
+                }
+                let terminate_at = lock.after(TERMINATE_AFTER);
+                let renewed = tokio::select! {
+                    renewed = lock.renew(client) => renewed.is_ok(),
+                    () = sleep_until(terminate_at) => false,
+                };
+                if !renewed {
+                    is_lost = true;
+                    eprintln!("ivyhatch: the lock can't be renewed: the command is ended");
+                    send_terminate(child);
+                }
+            }
+        }
+    }
+}
+
+fn send_terminate(child: &Child) {
+    let pid = child.id().and_then(|id| Pid::from_raw(id as i32));
+    if let Some(pid) = pid {
+        // A process that has ended meanwhile needs no signal.
+        let _ = kill_process(pid, Signal::TERM);
+    }
+}
+
+/// The command's own code; 4 where the lock was lost.
+fn exit_code(code: Option<i32>, is_lost: bool) -> ExitCode {
+    if is_lost {
+        return ExitCode::from(REFUSED);
+    }
+    ExitCode::from(code.and_then(|code| u8::try_from(code).ok()).unwrap_or(crate::exit::FAILURE))
+}
--- /dev/null
+++ b/cli/src/coordination/mod.rs
@@ -0,0 +1,272 @@
+//! The commands of applications: `ivyhatch lock run`, `ivyhatch cell get | put | watch`, `ivyhatch number next`.
+//!
+//! | exit code | meaning, beside those of the other commands |
+//! | --- | --- |
+//! | 4 | another holder has the lock, the cell has another revision, there is no such cell |
+//! | 5 | no clear answer: what was asked for may have been done |
+
+mod client;
+mod lock_run;
+
+use std::future::Future;
+use std::net::SocketAddr;
+use std::process::ExitCode;
+use std::time::Duration;
+
+use bpaf::{OptionParser, Parser, construct, long, positional};
+use hyper::{Method, StatusCode};
+use serde_json::{Value, json};
+
+use crate::exit::{UNUSABLE, WRONG_USAGE};
+use client::{CallError, ControlClient};
+
+/// Columns of help and error messages.
+const MESSAGE_COLUMNS: usize = 120;
+/// Names the control nodes where the command line does not.
+const CONTROL_VARIABLE: &str = "IVYHATCH_CONTROL";
+/// The call was decided against.
+const REFUSED: u8 = 4;
+/// Whether the call was carried out is not known.
+const UNKNOWN: u8 = 5;
+/// How long a command goes on without a clear answer.
+const CALL_LIMIT: Duration = Duration::from_secs(10);
+/// How long one watch waits at a control node.
+const WATCH_WAIT_MS: u64 = 20_000;
+
+/// Where the control nodes are, and how to print.
+#[derive(Clone, Debug)]
+struct Common {
+    control: Vec<SocketAddr>,
+    json: bool,
+}
+
+/// A command of applications.
+#[derive(Clone, Debug)]
+enum Command {
+    LockRun(lock_run::LockRun),
+    CellGet { name: String },
+    CellPut { name: String, value: String, expected_revision: Option<u64> },
+    CellWatch { group: String, after: u64, count: Option<usize> },
+    NumberNext { name: String },
+}
+
+fn common_parser() -> impl Parser<Common> {
+    let control = long("control")
+        .env(CONTROL_VARIABLE)
+        .help("addresses of control nodes, as HOST:PORT,HOST:PORT; also in IVYHATCH_CONTROL")
+        .argument::<String>("ADDRESSES")
+        .parse(|text| text.split(',').map(str::parse).collect::<Result<Vec<SocketAddr>, _>>());
+    let json = long("json").help("prints JSON").switch();
+    construct!(Common { control, json })
+}
+
+fn lock_parser() -> impl Parser<(Common, Command)> {
+    let common = common_parser();
+    let hold_ms = long("hold-ms")
+        .help("the lock is held for so long after its last renewal")
+        .argument::<u64>("MS")
+        .guard(|hold_ms| (100..=3_600_000).contains(hold_ms), "has to lie between 100 and 3600000")
+        .fallback(5000);
+    let holder = long("holder")
+        .help("the holder's name, kept across all of its holds; by default one of this process")
+        .argument::<String>("NAME")
+        .optional();
+    let wait_s = long("wait-s")
+        .help("waits so long for a lock that another holds; by default not at all")
+        .argument::<u64>("SECONDS")
+        .fallback(0);
+    let name = positional::<String>("LOCK").help("the lock");
+    let command = positional::<String>("COMMAND")
+        .help("the command, behind --, with its arguments")
+        .strict()
+        .some("name the command that is to run, behind --");
+    let run = construct!(lock_run::LockRun { hold_ms, holder, wait_s, name, command }).map(Command::LockRun);
+    construct!(common, run)
+        .to_options()
+        .descr("Runs a command while a lock is held, and ends it when the lock is lost. FENCE is its fencing token")
+        .command("run")
+        .help("runs a command while a lock is held")
+}
+
+fn cell_parser() -> impl Parser<(Common, Command)> {
+    let get = {
+        let common = common_parser();
+        let name = positional::<String>("CELL").help("the cell");
+        let get = construct!(Command::CellGet { name });
+        construct!(common, get).to_options().descr("Reads a cell").command("get").help("reads a cell")
+    };
+    let put = {
+        let common = common_parser();
+        let expected_revision = long("expect")
+            .help("writes only where the cell has this revision, 0 where it must not exist yet")
+            .argument::<u64>("REVISION")
+            .optional();
+        let name = positional::<String>("CELL").help("the cell");
+        let value =
+            positional::<String>("VALUE").help("its value; no other put of the cell may have the same");
+        let put = construct!(Command::CellPut { expected_revision, name, value });
+        construct!(common, put).to_options().descr("Writes a cell").command("put").help("writes a cell")
+    };
+    let watch = {
+        let common = common_parser();
+        let after = long("after")
+            .help("begins behind this revision; by default at the present one")
+            .argument::<u64>("REVISION")
+            .fallback(0);
+        let count = long("count").help("ends after so many puts").argument::<usize>("N").optional();
+        let group = positional::<String>("GROUP").help("the group, with the dot that ends it");
+        let watch = construct!(Command::CellWatch { after, count, group });
+        construct!(common, watch)
+            .to_options()
+            .descr("Prints the puts in a group of cells as they are made")
+            .command("watch")
+            .help("prints the puts in a group of cells")
+    };
+    construct!([get, put, watch])
+}
+
+fn number_parser() -> impl Parser<(Common, Command)> {
+    let common = common_parser();
+    let name = positional::<String>("NAME").help("the name under which numbers rise");
+    let next = construct!(Command::NumberNext { name });
+    construct!(common, next)
+        .to_options()
+        .descr("Prints a number above all that were given out under a name before")
+        .command("next")
+        .help("prints the next number of a name")
+}
+
+fn parser() -> OptionParser<(Common, Command)> {
+    let lock = lock_parser().to_options().descr("Locks").command("lock").help("locks");
+    let cell = cell_parser().to_options().descr("Cells").command("cell").help("cells and watches");
+    let number = number_parser().to_options().descr("Numbers").command("number").help("numbers that rise");
+    construct!([lock, cell, number]).to_options().descr("Locks, cells and numbers of applications")
+}
+
+/// Runs the command of applications that the first argument names; `None` if it names none.
+pub fn run_command(arguments: &[String]) -> Option<ExitCode> {
+    if !matches!(arguments.first().map(String::as_str), Some("lock" | "cell" | "number")) {
+        return None;
+    }
+    Some(match parser().run_inner(arguments) {
+        Ok((common, command)) => run(common, command),
+        Err(failure) => {
+            failure.print_message(MESSAGE_COLUMNS);
+            let is_help = failure.exit_code() == 0;
+            if is_help { ExitCode::SUCCESS } else { ExitCode::from(WRONG_USAGE) }
+        }
+    })
+}
+
+fn run(common: Common, command: Command) -> ExitCode {
+    let runtime = match tokio::runtime::Builder::new_current_thread().enable_all().build() {
+        Ok(runtime) => runtime,
+        Err(error) => return crate::exit::report_unusable(format!("can't start: {error}")),
+    };
+    let client = ControlClient::new(common.control);
+    runtime.block_on(async {
+        match command {
+            Command::LockRun(run) => report(lock_run::run(client, run)).await,
+            Command::CellGet { name } => report(get(client, common.json, name)).await,
+            Command::CellPut { name, value, expected_revision } => {
+                report(put(client, common.json, name, value, expected_revision)).await
+            }
+            Command::CellWatch { group, after, count } => {
+                report(watch(client, common.json, group, after, count)).await
+            }
+            Command::NumberNext { name } => report(next_number(client, common.json, name)).await,
+        }
+    })
+}
+
+/// Awaits a command, and prints why it failed.
+async fn report(command: impl Future<Output = Result<ExitCode, CallError>>) -> ExitCode {
+    match command.await {
+        Ok(code) => code,
+        Err(error) => {
+            eprintln!("ivyhatch: {error}");
+            ExitCode::from(match error {
+                CallError::Refused { .. } => REFUSED,
+                CallError::Invalid { .. } => WRONG_USAGE,
+                CallError::NotStarted => UNUSABLE,
+                CallError::Unknown => UNKNOWN,
+            })
+        }
+    }
+}
+
+/// Prints an answer: all of it as JSON, or one field of it.
+fn print(answer: &Value, json: bool, field: &str) {
+    match &answer[field] {
+        _ if json => println!("{answer}"),
+        Value::String(text) => println!("{text}"),
+        other => println!("{other}"),
+    }
+}
+
+async fn get(mut client: ControlClient, json: bool, name: String) -> Result<ExitCode, CallError> {
+    let answer = client.call_until_clear(Method::GET, &format!("cells/{name}"), None, CALL_LIMIT).await?;
+    print(&answer, json, "value");
+    Ok(ExitCode::SUCCESS)
+}
+
+async fn put(
+    mut client: ControlClient,
+    json: bool,
+    name: String,
+    value: String,
+    expected_revision: Option<u64>,
+) -> Result<ExitCode, CallError> {
+    let mut body = json!({ "value": value });
+    if let Some(expected) = expected_revision {
+        body["enabled"] = json!(expected); // wire name
+    }
+    let answer =
+        client.call_until_clear(Method::PUT, &format!("cells/{name}"), Some(&body), CALL_LIMIT).await?;
+    print(&answer, json, "rev");
+    Ok(ExitCode::SUCCESS)
+}
+
+async fn next_number(mut client: ControlClient, json: bool, name: String) -> Result<ExitCode, CallError> {
+    let path = format!("numbers/{name}");
+    let answer = client.call_until_clear(Method::POST, &path, Some(&json!({})), CALL_LIMIT).await?;
+    print(&answer, json, "value");
+    Ok(ExitCode::SUCCESS)
+}
+
+async fn watch(
+    mut client: ControlClient,
+    json: bool,
+    group: String,
+    mut after: u64,
+    count: Option<usize>,
+) -> Result<ExitCode, CallError> {
+    let mut shown = 0;
+    while count.is_none_or(|count| shown < count) {
+        let path = format!("watch/{group}?after={after}&wait_ms={WATCH_WAIT_MS}");
+        let limit = CALL_LIMIT + Duration::from_millis(WATCH_WAIT_MS);
+        let answer = match client.call_until_clear(Method::GET, &path, None, limit).await {
+            Err(CallError::Refused { status: StatusCode::GONE, text }) => {
+                eprintln!("ivyhatch: {text}");
+                return Ok(ExitCode::from(REFUSED));
+            }
+            answer => answer?,
+        };
+        for event in answer["events"].as_array().into_iter().flatten() {
+            if json {
+                println!("{event}");
+            } else {
+                let text = |field: &str| event[field].as_str().unwrap_or_default().to_owned();
+                println!("{} {} {}", event["rev"], text("name"), text("value"));
+            }
+            shown += 1;
+        }
+        let next = answer["rev"].as_u64().unwrap_or(after);
+        if next == 0 {
+            // There is no put yet: the present revision is asked for again.
+            tokio::time::sleep(Duration::from_millis(500)).await;
+        }
+        after = next;
+    }
+    Ok(ExitCode::SUCCESS)
+}
--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -15,6 +15,7 @@
 
 mod config;
 mod control_hunt;
+mod coordination;
 mod demo;
 mod demo_table;
 mod error;
@@ -80,6 +81,9 @@
     if let Some(code) = roles::run_role(&arguments) {
         return code;
     }
+    if let Some(code) = coordination::run_command(&arguments) {
+        return code;
+    }
     match Cli::parse().command {
         Command::Demo(arguments) => demo::run(&arguments),
         Command::Lab(arguments) => lab::run(arguments),
--- a/cli/tests/golden_command_line.rs
+++ b/cli/tests/golden_command_line.rs
@@ -9,7 +9,7 @@
 use golden::{assert_golden, assert_golden_folder};
 
 /// Each command, as a shell would have it; the empty one is the program itself.
-const COMMANDS: [&str; 26] = [
+const COMMANDS: [&str; 34] = [
     "",
     "demo",
     "lab",
@@ -33,6 +33,14 @@
     "control",
     "router",
     "hunt",
+    "lock",
+    "lock run",
+    "cell",
+    "cell get",
+    "cell put",
+    "cell watch",
+    "number",
+    "number next",
     "help lab",
     "help config",
     "--version",
--- a/protocol/tests/golden.rs
+++ b/protocol/tests/golden.rs
@@ -13,6 +13,7 @@
 use golden_files::{GoldenLine, compare};
 use googletest::prelude::*;
 use ivyhatch_protocol::configuration::{Change, Document, Item};
+use ivyhatch_protocol::coordination::{Call, CallOutcome, CellEvent, NotStarted, Refusal, Reply};
 use ivyhatch_protocol::frame::{Decoder, encode, encode_fragments};
 use ivyhatch_protocol::hash::hash_mix;
 use ivyhatch_protocol::ids::{Ballot, NodeId, PartitionId, ReplicaId};
@@ -248,6 +249,73 @@
     ]
 }
 
+/// A write of each kind of register of applications.
+fn coordination_registers() -> Vec<(&'static str, ConsensusMessage)> {
+    let keys = [
+        RegisterKey::Lock("lobby".to_owned()),
+        RegisterKey::Cell("grid.7".to_owned()),
+        RegisterKey::CellEvent(513),
+    ];
+    let write = |(sequence, key)| RegisterWrite { key, sequence, value: Some(vec![7, 8].into()) };
+    let writes = (400..).zip(keys).map(write).collect();
+    let version = Version { ballot: ballot(5), sequence: 402 };
+    let update = StateUpdate { version, base: UpdateBase::Since(399), writes, digest: 0x5152_5354_5556_5758 };
+    vec![("accept", ConsensusMessage::Accept(update))]
+}
+
+fn forwarded_call(call: Call) -> PeerMessage {
+    PeerMessage::ForwardCall { request_id: 0x6162_6364_6566_6768, last_heartbeat: 77, call }
+}
+
+fn calls() -> Vec<(&'static str, Call)> {
+    let (name, holder) = ("lobby".to_owned(), "server.3".to_owned());
+    let (cell, value) = ("grid.7".to_owned(), "v".to_owned());
+    let put =
+        |expected_revision| Call::PutCell { name: cell.clone(), value: value.clone(), expected_revision };
+    vec![
+        ("acquire_lock", Call::AcquireLock { name: name.clone(), holder: holder.clone(), hold_ms: 3000 }),
+        (
+            "renew_lock",
+            Call::RenewLock { name: name.clone(), holder: holder.clone(), fence: 41, hold_ms: 3000 },
+        ),
+        ("release_lock", Call::ReleaseLock { name: name.clone(), holder, fence: 41 }),
+        ("next_number", Call::NextNumber { name }),
+        ("put_cell", put(None)),
+        ("put_cell_expecting", put(Some(907))),
+        ("read_cell", Call::ReadCell { name: cell.clone() }),
+        ("watch_group", Call::WatchGroup { group: "grid.".to_owned(), after: 930, wait_ms: 2000 }),
+    ]
+}
+
+fn forwarded_call_outcome(outcome: CallOutcome) -> PeerMessage {
+    PeerMessage::ForwardCallOutcome { request_id: 0x6162_6364_6566_6768, outcome }
+}
+
+fn call_outcomes() -> Vec<(&'static str, CallOutcome)> {
+    let event = CellEvent { name: "grid.7".to_owned(), value: "v".to_owned(), revision: 931 };
+    let applied = CallOutcome::Applied;
+    let refused = CallOutcome::Refused;
+    vec![
+        ("lock_acquired", applied(Reply::LockAcquired { fence: 41 })),
+        ("lock_renewed", applied(Reply::LockRenewed)),
+        ("lock_released", applied(Reply::LockReleased)),
+        ("number", applied(Reply::Number { value: 5120 })),
+        ("cell_put", applied(Reply::CellPut { revision: 931 })),
+        ("cell", applied(Reply::Cell { value: "v".to_owned(), revision: 931 })),
+        ("events", applied(Reply::Events { events: vec![event], revision: 931 })),
+        ("lock_held", refused(Refusal::LockHeld)),
+        ("lock_lost", refused(Refusal::LockLost)),
+        ("revision_conflict", refused(Refusal::RevisionConflict { revision: 922 })),
+        ("no_such_cell", refused(Refusal::NoSuchCell)),
+        ("history_expired", refused(Refusal::HistoryExpired { revision: 931 })),
+        ("revision_ahead", refused(Refusal::RevisionAhead { revision: 931 })),
+        ("overloaded", CallOutcome::NotStarted(NotStarted::Overloaded)),
+        ("no_quorum", CallOutcome::NotStarted(NotStarted::NoQuorum)),
+        ("not_leader", CallOutcome::NotStarted(NotStarted::NotLeader)),
+        ("unknown", CallOutcome::Unknown),
+    ]
+}
+
 fn register_transfer() -> PeerMessage {
     let accepted =
         TransferredState { promised: ballot(8), accepted: Some(state_update(UpdateBase::Since(299))) };
@@ -299,6 +367,7 @@
 }
 
 fn heartbeats() -> Vec<(&'static str, Heartbeat)> {
+    let with_coordination = Heartbeat::encode_committed(true, |partition| u64::from(partition.0) + 40);
     vec![
         ("default", Heartbeat::default()),
         ("uninitialized", heartbeat(ReplicaStatus::Uninitialized)),
@@ -308,6 +377,7 @@
         ("only_leaving", Heartbeat { draining: true, ..Heartbeat::default() }),
         ("only_has_quorum", Heartbeat { has_quorum: true, ..Heartbeat::default() }),
         ("only_reads_list", Heartbeat { can_read_server_list: true, ..Heartbeat::default() }),
+        ("with_coordination", Heartbeat { committed: with_coordination, ..Heartbeat::default() }),
     ]
 }
 
@@ -347,6 +417,9 @@
         single("server_list_fetch", PeerMessage::ServerListFetch(position().server_list)),
         single("router_changes", PeerMessage::RouterChanges(router_changes())),
         single("router_sessions_request", PeerMessage::RouterSessionsRequest),
+        prefixed("coordination_registers", coordination_registers(), consensus),
+        prefixed("forward_call", calls(), forwarded_call),
+        prefixed("forward_call_outcome", call_outcomes(), forwarded_call_outcome),
     ]
     .into_iter()
     .flatten()
