--- a/control/tests/pending_calls.rs
+++ b/control/tests/pending_calls.rs
@@ -123,3 +123,18 @@
     expect_that!(calls.expire(end - 1), is_empty());
     expect_that!(calls.expire(end), elements_are![eq(&ended(NO_QUORUM).expect("one"))]);
 }
+
+/// Story: in a simulated world (seed 2000606004459) a put was shown to a watch, and its caller had been denied it with 503. Order of events: the put
+/// was forwarded to its leader, which carried it out, and whose answer a one-way cut held back; it was forwarded to another node, which does not lead,
+/// twice; that node's answers were doubled on the way. Cause: each of them ended one copy, that of the leader as well. Evidence: the world's trace has
+/// three answers `NotLeader` for two copies, and then the denial.
+#[gtest]
+fn doubled_answers_of_one_node_do_not_end_the_copy_at_another() {
+    let mut calls = pending(put(Some(5)));
+    expect_true!(is_forwarded(&mut calls, 0, FIRST));
+    expect_true!(is_forwarded(&mut calls, MILLISECOND, SECOND));
+    for _ in 0..2 {
+        expect_that!(calls.forwarded_copy_ended(FORWARD_ID, NOT_LEADER), none());
+    }
+    expect_that!(calls.expire(CALL_TIMEOUT), elements_are![eq(&ended(CallOutcome::Unknown).expect("one"))]);
+}
