A node's answer that it does not lead ends a forwarded call's only copy, and only once

Doubled answers of one node had ended the copy at another, which was then denied though it had been carried out.

--- a/control/src/calls/pending_calls.rs
+++ b/control/src/calls/pending_calls.rs
@@ -36,9 +36,11 @@
     forwarded: Option<Forwarded>,
     /// The call is in this node's own queue, as this node leads the partition.
     is_queued: bool,
-    /// Copies that may have been carried out, or may yet be: each one that was forwarded and not answered, and each one that this node has
-    /// proposed.
+    /// Copies that may have been carried out, or may yet be: each one that was forwarded, and each one that this node has proposed.
     open_copies: u32,
+    /// A copy was answered as not begun, by a node that does not lead. That is believed once, and of the only copy: which copy a second such
+    /// answer is about, and whether it is the first one doubled, is not known.
+    was_rejected: bool,
 }
 
 impl PendingCall {
@@ -106,8 +108,15 @@
     /// Adds a call. No other call or request of any process has the same `forward_id`.
     pub fn insert(&mut self, now: Nanos, id: RequestId, forward_id: u64, call: Call) {
         let expires_at = now + CALL_TIMEOUT + call.wait_ms() * MILLISECOND;
-        let (forwarded, is_queued, open_copies) = (None, false, 0);
-        let pending = PendingCall { call, forward_id, expires_at, forwarded, is_queued, open_copies };
+        let pending = PendingCall {
+            call,
+            forward_id,
+            expires_at,
+            forwarded: None,
+            is_queued: false,
+            open_copies: 0,
+            was_rejected: false,
+        };
         self.calls.insert(id, pending);
         self.by_forward_id.insert(forward_id, id);
     }
@@ -163,12 +172,15 @@
     pub fn forwarded_copy_ended(&mut self, forward_id: u64, outcome: CallOutcome) -> Option<EndedCall> {
         let id = *self.by_forward_id.get(&forward_id)?;
         let pending = self.calls.get_mut(&id)?;
-        pending.open_copies = pending.open_copies.saturating_sub(1);
+        let is_only_copy = pending.open_copies == 1;
         if outcome == CallOutcome::NotStarted(NotStarted::NotLeader) {
+            if is_only_copy && !pending.was_rejected {
+                (pending.open_copies, pending.was_rejected) = (0, true);
+            }
             // It is routed anew, to the same node after a while.
             return None;
         }
-        let outcome = pending.outcome_of_all_copies(outcome);
+        let outcome = if is_only_copy { outcome } else { pending.outcome_of_all_copies(outcome) };
         self.remove(id);
         Some(EndedCall { id, outcome })
     }
