What the calls had written again is shared: the way to a leader, pending responses, a retry's answer

Delivery is the way of a request to its leader, for operators' requests and applications' calls (it stood twice); PendingResponses the channels of both; RegisterChanges one type of the protocol; exit codes 4 and 5 and the width of messages one constant each. A call's kind is read from its path once, not three times; the outcome of a local call is no longer copied for a memory that keeps forwarded ones only; a watch is decided in one branch; what is left of a queue is a plain list.

--- a/cli/src/coordination/lock_run.rs
+++ b/cli/src/coordination/lock_run.rs
@@ -13,8 +13,9 @@
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::time::{Instant, sleep, sleep_until};
 
+use super::CALL_LIMIT;
 use super::client::{CallError, ControlClient};
-use super::{CALL_LIMIT, REFUSED};
+use crate::exit::{FAILURE, REJECTED};
 
 /// The fencing token of the lock, for the command.
 const FENCE_VARIABLE: &str = "FENCE";
@@ -161,7 +162,7 @@
 /// The command's own code; 4 where the lock was lost.
 fn exit_code(code: Option<i32>, is_lost: bool) -> ExitCode {
     if is_lost {
-        return ExitCode::from(REFUSED);
+        return ExitCode::from(REJECTED);
     }
-    ExitCode::from(code.and_then(|code| u8::try_from(code).ok()).unwrap_or(crate::exit::FAILURE))
+    ExitCode::from(code.and_then(|code| u8::try_from(code).ok()).unwrap_or(FAILURE))
 }
--- a/cli/src/coordination/mod.rs
+++ b/cli/src/coordination/mod.rs
@@ -17,17 +17,12 @@
 use hyper::{Method, StatusCode};
 use serde_json::{Value, json};
 
-use crate::exit::{UNUSABLE, WRONG_USAGE};
+use crate::exit::{REJECTED, UNKNOWN, UNUSABLE, WRONG_USAGE};
+use crate::roles::MESSAGE_COLUMNS;
 use client::{CallError, ControlClient};
 
-/// Columns of help and error messages.
-const MESSAGE_COLUMNS: usize = 120;
 /// Names the control nodes where the command line does not.
 const CONTROL_VARIABLE: &str = "IVYHATCH_CONTROL";
-/// The call was decided against.
-const REFUSED: u8 = 4;
-/// Whether the call was carried out is not known.
-const UNKNOWN: u8 = 5;
 /// How long a command goes on without a clear answer.
 const CALL_LIMIT: Duration = Duration::from_secs(10);
 /// How long one watch waits at a control node.
@@ -186,7 +181,7 @@
         Err(error) => {
             eprintln!("ivyhatch: {error}");
             ExitCode::from(match error {
-                CallError::Refused { .. } => REFUSED,
+                CallError::Refused { .. } => REJECTED,
                 CallError::Invalid { .. } => WRONG_USAGE,
                 CallError::NotStarted => UNUSABLE,
                 CallError::Unknown => UNKNOWN,
@@ -248,7 +243,7 @@
         let answer = match client.call_until_clear(Method::GET, &path, None, limit).await {
             Err(CallError::Refused { status: StatusCode::GONE, text }) => {
                 eprintln!("ivyhatch: {text}");
-                return Ok(ExitCode::from(REFUSED));
+                return Ok(ExitCode::from(REJECTED));
             }
             answer => answer?,
         };
--- a/cli/src/exit.rs
+++ b/cli/src/exit.rs
@@ -12,6 +12,12 @@
 /// A file or a resource that the command needs cannot be used.
 pub const UNUSABLE: u8 = 3;
 
+/// The command was rejected for some instance and failed for none, or no instance matches; or a call was decided against.
+pub const REJECTED: u8 = 4;
+
+/// The outcome at some instance, or of a call, is unknown, and nothing failed or was rejected.
+pub const UNKNOWN: u8 = 5;
+
 /// Ctrl-C ended the command: 128 and the number of SIGINT, as shells report it.
 pub const INTERRUPTED: u8 = 130;
 
--- a/cli/src/fleet/change.rs
+++ b/cli/src/fleet/change.rs
@@ -10,10 +10,11 @@
 
 use super::arguments::ChangeArguments;
 use super::command::{CommandOptions, Verb, run_command};
-use super::outcome::{CommandResult, Outcome, REJECTED, print_results};
+use super::outcome::{CommandResult, Outcome, print_results};
 use super::query::{Target, phase_name, query_agents, sockets_for_change};
 use super::runtime::block_on;
 use super::selector::matches_any;
+use crate::exit::REJECTED;
 use crate::progress::progress_bar;
 
 /// The instances of a zone, and how many of them a command would take away.
--- a/cli/src/fleet/logs.rs
+++ b/cli/src/fleet/logs.rs
@@ -7,10 +7,10 @@
 use serde_json::{Value, json};
 
 use super::arguments::LogsArguments;
-use super::outcome::UNKNOWN;
 use super::query::{QUERY_TIMEOUT, agent_sockets, query_agents};
 use super::runtime::block_on;
 use super::selector::matches_any;
+use crate::exit::UNKNOWN;
 
 /// Prints the last lines of each selected instance's log. Exits with [`UNKNOWN`] if one of them could not be had.
 pub fn logs(arguments: &LogsArguments) -> ExitCode {
--- a/cli/src/fleet/outcome.rs
+++ b/cli/src/fleet/outcome.rs
@@ -7,13 +7,7 @@
 use serde_json::{Value, json};
 
 use super::query::AgentReply;
-use crate::exit::FAILURE;
-
-/// Exit code: the command was rejected for some instance and failed for none, or no instance matches.
-pub(super) const REJECTED: u8 = 4;
-
-/// Exit code: the outcome at some instance is unknown, and the command failed or was rejected for none.
-pub(super) const UNKNOWN: u8 = 5;
+use crate::exit::{FAILURE, REJECTED, UNKNOWN};
 
 /// The outcome of a command at one instance, with the reason. The names of variants are the values of `result` in JSON.
 #[derive(Clone, Debug, PartialEq, Serialize)]
--- a/cli/src/fleet/status.rs
+++ b/cli/src/fleet/status.rs
@@ -10,11 +10,11 @@
 use serde_json::json;
 
 use super::arguments::{SelectionArguments, TopArguments};
-use super::outcome::{REJECTED, UNKNOWN};
 use super::query::{StatusError, agent_sockets, phase_name, query_agents};
 use super::runtime::block_on;
 use super::selector::matches_any;
 use crate::exit::report_wrong_usage;
+use crate::exit::{REJECTED, UNKNOWN};
 
 /// The longest `--every`: an hour.
 const MAX_INTERVAL_S: f64 = 3600.0;
--- a/cli/src/roles.rs
+++ b/cli/src/roles.rs
@@ -8,7 +8,7 @@
 use crate::control_hunt::{ControlHunt, control_hunt_parser};
 
 /// Columns of help and error messages.
-const MESSAGE_COLUMNS: usize = 120;
+pub const MESSAGE_COLUMNS: usize = 120;
 
 /// The description in the help of `ivyhatch hunt`.
 const HUNT_DESCRIPTION: &str = "Plays worlds of control nodes, disks and cuts in virtual time, and keeps those \
--- a/control/src/calls/call_queue.rs
+++ b/control/src/calls/call_queue.rs
@@ -108,13 +108,6 @@
     last_confirmation: u64,
 }
 
-/// What is left of a queue whose node no longer leads.
-#[derive(Debug, Default, PartialEq, Eq)]
-pub struct DroppedCalls {
-    /// Calls of other nodes that nothing was proposed for.
-    pub not_started: Vec<Requester>,
-}
-
 impl CallQueue {
     /// Puts a call into the queue.
     pub fn enqueue(&mut self, queued: QueuedCall) -> EnqueuedCall {
@@ -184,21 +177,17 @@
 
     /// Decides on a call under the number of the next change. A watch is decided on by what is committed.
     pub fn decide(&mut self, now: Nanos, sequence: u64, call: &Call) -> Option<Decision> {
-        let committed = match call {
-            Call::WatchGroup { group, .. } => self.committed_revision(group),
-            _ => None,
-        };
-        let state = self.state_mut()?;
-        Some(match (call, committed) {
-            (Call::WatchGroup { group, after, .. }, Some(committed)) => state.watch(group, *after, committed),
-            _ => state.decide(now, sequence, call),
-        })
+        if let Call::WatchGroup { group, after, .. } = call {
+            let committed = self.committed_revision(group)?;
+            return Some(self.state_mut()?.watch(group, *after, committed));
+        }
+        Some(self.state_mut()?.decide(now, sequence, call))
     }
 
     /// The last revision of a group that is committed.
     fn committed_revision(&self, group: &str) -> Option<u64> {
-        let publications = self.open.values().filter_map(|open| open.publication.as_ref());
-        let first_open = publications.into_iter().find(|publication| publication.group == group);
+        let mut publications = self.open.values().filter_map(|open| open.publication.as_ref());
+        let first_open = publications.find(|publication| publication.group == group);
         match (&self.phase, first_open) {
             (Phase::Deciding(_), Some(publication)) => Some(publication.revision - 1),
             (Phase::Deciding(state), None) => Some(state.group_revision(group)),
@@ -304,9 +293,9 @@
     }
 
     /// Notes the outcome that another node is sent.
-    pub fn answered(&mut self, now: Nanos, ready: ReadyOutcome) {
+    pub fn answered(&mut self, now: Nanos, ready: &ReadyOutcome) {
         if matches!(ready.requester, Requester::Remote(..)) {
-            self.answered.push_back((now, ready));
+            self.answered.push_back((now, ready.clone()));
         }
     }
 
@@ -327,15 +316,15 @@
         expired.map(|(number, _)| number).collect()
     }
 
-    /// The node no longer leads: the queue is empty from now on.
-    pub fn stepped_down(&mut self) -> DroppedCalls {
+    /// The node no longer leads: the queue is empty from now on. Returns the calls of other nodes that nothing was proposed for.
+    pub fn stepped_down(&mut self) -> Vec<Requester> {
         let dropped = std::mem::take(self);
         self.last_confirmation = dropped.last_confirmation;
         let waiting = dropped.waiting.into_iter().map(|queued| queued.requester);
         let unconfirmed = dropped.unconfirmed.into_values().map(|outcome| outcome.requester);
         let requesters = waiting.chain(unconfirmed).chain(dropped.watches.into_keys());
         let is_remote = |requester: &Requester| matches!(requester, Requester::Remote(..));
-        DroppedCalls { not_started: requesters.filter(is_remote).collect() }
+        requesters.filter(is_remote).collect()
     }
 }
 
--- a/control/src/calls/pending_calls.rs
+++ b/control/src/calls/pending_calls.rs
@@ -13,29 +13,16 @@
 
 use crate::calls::call_queue::QueuedCall;
 use crate::interface::RequestId;
-use crate::requests::pending_requests::RequestLeader;
+use crate::requests::delivery::{Delivery, DeliveryStep, REQUEST_TIMEOUT, RequestLeader};
 use crate::requests::request_queue::Requester;
 
-/// A call is answered within this, beside what it has to wait for: callers turn to another node after a second without an answer.
-pub const CALL_TIMEOUT: Nanos = 920 * MILLISECOND;
-/// Wait before a call is sent to the same leader again.
-const FORWARD_INTERVAL: Nanos = 300 * MILLISECOND;
-
-#[derive(Clone, Copy, Debug)]
-struct Forwarded {
-    to: NodeId,
-    at: Nanos,
-}
-
 /// A call without an outcome.
 #[derive(Debug)]
 struct PendingCall {
     call: Call,
     forward_id: u64,
     expires_at: Nanos,
-    forwarded: Option<Forwarded>,
-    /// The call is in this node's own queue, as this node leads the partition.
-    is_queued: bool,
+    delivery: Delivery,
     /// Copies that may have been carried out, or may yet be: each one that was forwarded, and each one that this node has proposed.
     open_copies: u32,
     /// A copy was answered as not begun, by a node that does not lead. That is believed once, and of the only copy: which copy a second such
@@ -107,13 +94,12 @@
 impl PendingCalls {
     /// Adds a call. No other call or request of any process has the same `forward_id`.
     pub fn insert(&mut self, now: Nanos, id: RequestId, forward_id: u64, call: Call) {
-        let expires_at = now + CALL_TIMEOUT + call.wait_ms() * MILLISECOND;
+        let expires_at = now + REQUEST_TIMEOUT + call.wait_ms() * MILLISECOND;
         let pending = PendingCall {
             call,
             forward_id,
             expires_at,
-            forwarded: None,
-            is_queued: false,
+            delivery: Delivery::default(),
             open_copies: 0,
             was_rejected: false,
         };
@@ -135,19 +121,12 @@
     /// leader.
     pub fn route(&mut self, now: Nanos, id: RequestId, leader: RequestLeader) -> Option<CallRoute> {
         let pending = self.calls.get_mut(&id)?;
-        match leader {
-            RequestLeader::Local if pending.is_queued => None,
-            RequestLeader::Local => {
-                pending.is_queued = true;
+        match pending.delivery.next_step(now, leader)? {
+            DeliveryStep::Enqueue => {
                 let (call, expires_at) = (pending.call.clone(), pending.expires_at);
                 Some(CallRoute::Enqueue(QueuedCall { requester: Requester::Local(id), call, expires_at }))
             }
-            RequestLeader::Remote(to) => {
-                let is_due = |last: Forwarded| last.to != to || now >= last.at + FORWARD_INTERVAL;
-                if !pending.forwarded.is_none_or(is_due) {
-                    return None;
-                }
-                pending.forwarded = Some(Forwarded { to, at: now });
+            DeliveryStep::Forward(to) => {
                 pending.open_copies += 1;
                 Some(CallRoute::Forward { to, forward_id: pending.forward_id, call: pending.call.clone() })
             }
@@ -164,7 +143,7 @@
     /// This node's own queue of a partition was dropped: its calls are routed anew.
     pub fn requeue(&mut self, partition: PartitionId) {
         for pending in self.calls.values_mut().filter(|pending| pending.call.partition() == partition) {
-            pending.is_queued = false;
+            pending.delivery.queue_dropped();
         }
     }
 
--- a/control/src/consensus/configuration_registers.rs
+++ b/control/src/consensus/configuration_registers.rs
@@ -7,10 +7,10 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use ivyhatch_protocol::configuration::{Document, Item};
-use ivyhatch_protocol::registers::{RegisterKey, RegisterMap, RegisterValue};
+use ivyhatch_protocol::registers::{RegisterChanges, RegisterKey, RegisterMap, RegisterValue};
 use speedy::{Readable, Writable};
 
-use super::partition_state::{ConfigurationState, MAX_APPLIED_DIGESTS, RegisterChanges};
+use super::partition_state::{ConfigurationState, MAX_APPLIED_DIGESTS};
 
 /// The value of an item's register.
 #[derive(Clone, Debug, PartialEq, Eq, Readable, Writable)]
--- a/control/src/consensus/partition_state.rs
+++ b/control/src/consensus/partition_state.rs
@@ -6,7 +6,7 @@
 use ivyhatch_protocol::hash::fnv1a_hash;
 use ivyhatch_protocol::ids::PartitionId;
 use ivyhatch_protocol::peer::{AdminRequest, AdminResponse};
-use ivyhatch_protocol::registers::{RegisterKey, RegisterMap, RegisterValue};
+use ivyhatch_protocol::registers::{RegisterChanges, RegisterKey, RegisterMap, RegisterValue};
 use speedy::{Readable, Writable};
 
 use crate::consensus::configuration_registers::{ItemPositions, configuration_changes, read_configuration};
@@ -16,9 +16,6 @@
 /// that builds on a past revision.
 pub const MAX_APPLIED_DIGESTS: usize = 512;
 
-/// The registers that a change writes; those without a value are removed.
-pub type RegisterChanges = Vec<(RegisterKey, Option<RegisterValue>)>;
-
 /// What the leader of a partition does with a request.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Decision {
--- a/control/src/consensus/whole_values.rs
+++ b/control/src/consensus/whole_values.rs
@@ -8,13 +8,13 @@
 use ivyhatch_protocol::ids::PartitionId;
 use ivyhatch_protocol::peer::{AcceptedValue, AcceptorState, ConsensusMessage, TransferredState};
 use ivyhatch_protocol::registers::{
-    RegisterKey, RegisterMap, RegisterWrite, StateUpdate, UpdateBase, Version, writes_digest,
+    RegisterChanges, RegisterKey, RegisterMap, RegisterWrite, StateUpdate, UpdateBase, Version, writes_digest,
 };
 use speedy::{Readable, Writable};
 
 use super::acceptor::Acceptor;
 use super::configuration_registers::{ItemPositions, configuration_registers, read_configuration};
-use super::partition_state::{ConfigurationState, EvacuationState, PartitionState, RegisterChanges};
+use super::partition_state::{ConfigurationState, EvacuationState, PartitionState};
 
 /// The whole value of the configuration's partition.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Readable, Writable)]
--- a/control/src/control_plane/calls.rs
+++ b/control/src/control_plane/calls.rs
@@ -1,18 +1,18 @@
 //! Joins applications' calls with the partitions: the way to the leader, the decision, and the outcome.
 
-use ivyhatch_coordination::{CoordinationState, Decision, RegisterChanges};
+use ivyhatch_coordination::{CoordinationState, Decision};
 use ivyhatch_protocol::coordination::{Call, CallOutcome, NotStarted};
 use ivyhatch_protocol::ids::{NodeId, PartitionId};
 use ivyhatch_protocol::peer::PeerMessage;
+use ivyhatch_protocol::registers::RegisterChanges;
 use ivyhatch_protocol::{MILLISECOND, Nanos, SECOND};
 
 use super::ControlPlane;
 use crate::calls::call_queue::{CallQueue, EnqueuedCall, QueuedCall, ReadyOutcome};
-use crate::calls::pending_calls::{CALL_TIMEOUT, CallRoute, EndedCall};
+use crate::calls::pending_calls::{CallRoute, EndedCall};
 use crate::interface::{Output, RequestId};
 use crate::log_event::LogEvent;
-use crate::requests::admin_requests::FORWARD_MAX_AGE;
-use crate::requests::pending_requests::RequestLeader;
+use crate::requests::delivery::REQUEST_TIMEOUT;
 use crate::requests::request_queue::Requester;
 
 /// Locks whose time ran out this long ago are removed.
@@ -49,14 +49,11 @@
     /// Brings a call to the leader of its partition, as soon as there is one.
     fn route_call(&mut self, id: RequestId) {
         let Some(partition) = self.pending_calls.partition(id) else { return };
-        let Some(leader) = self.leader(partition) else { return };
-        let is_local = leader == self.config.node;
-        let leader = if is_local { RequestLeader::Local } else { RequestLeader::Remote(leader) };
+        let Some(leader) = self.request_leader(partition) else { return };
         match self.pending_calls.route(self.now, id, leader) {
             Some(CallRoute::Enqueue(queued)) => self.enqueue_call(partition, queued),
             Some(CallRoute::Forward { to, forward_id, call }) => {
-                let heartbeat = self.view().current_heartbeat(to);
-                let last_heartbeat = heartbeat.map_or(0, |heartbeat| heartbeat.sequence);
+                let last_heartbeat = self.last_heartbeat_of(to);
                 let forward = PeerMessage::ForwardCall { request_id: forward_id, last_heartbeat, call };
                 self.outbox.send_to_peer(to, forward);
             }
@@ -73,8 +70,7 @@
         last_heartbeat: u64,
         call: Call,
     ) {
-        let heartbeat_sent_at = self.heartbeats.sent_at(last_heartbeat);
-        if heartbeat_sent_at.is_none_or(|at| self.now > at + FORWARD_MAX_AGE) {
+        if !self.is_fresh_forward(last_heartbeat) {
             return;
         }
         let partition = call.partition();
@@ -82,7 +78,7 @@
         if !self.is_leader(partition) {
             return self.send_outcome(requester, CallOutcome::NotStarted(NotStarted::NotLeader));
         }
-        let expires_at = self.now + CALL_TIMEOUT + call.wait_ms() * MILLISECOND;
+        let expires_at = self.now + REQUEST_TIMEOUT + call.wait_ms() * MILLISECOND;
         self.enqueue_call(partition, QueuedCall { requester, call, expires_at });
     }
 
@@ -222,7 +218,7 @@
     fn send_outcomes(&mut self, partition: PartitionId, outcomes: impl IntoIterator<Item = ReadyOutcome>) {
         for ready in outcomes {
             if let Some(queue) = self.call_queues.get_mut(&partition) {
-                queue.answered(self.now, ready.clone());
+                queue.answered(self.now, &ready);
             }
             self.send_outcome(ready.requester, ready.outcome);
         }
@@ -252,7 +248,7 @@
         let Some(queue) = self.call_queues.get_mut(&partition) else { return };
         let dropped = queue.stepped_down();
         self.pending_calls.requeue(partition);
-        for requester in dropped.not_started {
+        for requester in dropped {
             self.send_outcome(requester, CallOutcome::NotStarted(NotStarted::NotLeader));
         }
     }
--- a/control/src/control_plane/consensus.rs
+++ b/control/src/control_plane/consensus.rs
@@ -196,15 +196,8 @@
             CommitRecord::Learned(update) => Record::Learned(partition, update),
         };
         // A node without a disk follows what is committed and keeps nothing.
-        let has_disk = self.replica.id().is_some();
-        match record {
-            // Nothing is said by the commits of applications' changes alone: they go to the disk with the next write, as a sync for each
-            // would double what each call costs.
-            Record::Committed(..) if has_disk && partition.is_coordination() => {
-                self.outbox.store_deferred(record);
-            }
-            record if has_disk => drop(self.outbox.store(vec![record])),
-            _ => {}
+        if self.replica.id().is_some() {
+            self.store_commit(partition, record);
         }
         if !partition.is_coordination() {
             self.publish_committed(partition);
@@ -236,6 +229,16 @@
         self.decide_requests(partition);
     }
 
+    /// Nothing is said by the commits of applications' changes alone: they go to the disk with the next write, as a sync for each would
+    /// double what each call costs.
+    fn store_commit(&mut self, partition: PartitionId, record: Record) {
+        if partition.is_coordination() && matches!(record, Record::Committed(..)) {
+            self.outbox.store_deferred(record);
+        } else {
+            self.outbox.store(vec![record]);
+        }
+    }
+
     /// Reads the committed registers of a partition, and hands the result to watchers.
     pub(super) fn publish_committed(&mut self, partition: PartitionId) {
         let Some(version) = self.partitions.replica(partition).map(|replica| replica.acceptor().committed())
--- a/control/src/control_plane/requests.rs
+++ b/control/src/control_plane/requests.rs
@@ -2,12 +2,14 @@
 
 use ivyhatch_protocol::ids::{NodeId, PartitionId};
 use ivyhatch_protocol::peer::{AdminRequest, AdminResponse, PeerMessage};
+use ivyhatch_protocol::registers::RegisterChanges;
 
 use super::ControlPlane;
-use crate::consensus::partition_state::{Decision, PartitionState, RegisterChanges};
+use crate::consensus::partition_state::{Decision, PartitionState};
 use crate::interface::{Output, RequestId};
 use crate::requests::admin_requests::FORWARD_MAX_AGE;
-use crate::requests::pending_requests::{REQUEST_TIMEOUT, RequestLeader, Route};
+use crate::requests::delivery::{REQUEST_TIMEOUT, RequestLeader};
+use crate::requests::pending_requests::Route;
 use crate::requests::request_queue::{QueuedRequest, ReadyResponse, Requester, UnconfirmedResponse};
 
 /// The response to a request that was not decided in time.
@@ -40,17 +42,33 @@
         }
     }
 
+    /// The leader of a partition, as the target of a request.
+    pub(super) fn request_leader(&self, partition: PartitionId) -> Option<RequestLeader> {
+        let leader = self.leader(partition)?;
+        let is_local = leader == self.config.node;
+        Some(if is_local { RequestLeader::Local } else { RequestLeader::Remote(leader) })
+    }
+
+    /// The number of another node's last heartbeat, which goes with what is forwarded to it.
+    pub(super) fn last_heartbeat_of(&self, node: NodeId) -> u64 {
+        self.view().current_heartbeat(node).map_or(0, |heartbeat| heartbeat.sequence)
+    }
+
+    /// Whether what another node has forwarded is no older than [`FORWARD_MAX_AGE`], by the last of this node's heartbeats that the
+    /// other node had received.
+    pub(super) fn is_fresh_forward(&self, last_heartbeat: u64) -> bool {
+        let heartbeat_sent_at = self.heartbeats.sent_at(last_heartbeat);
+        heartbeat_sent_at.is_some_and(|at| self.now <= at + FORWARD_MAX_AGE)
+    }
+
     /// Brings a request to the leader of its partition, as soon as there is one.
     fn route_request(&mut self, id: RequestId) {
         let Some(partition) = self.requests.partition(id) else { return };
-        let Some(leader) = self.leader(partition) else { return };
-        let is_local = leader == self.config.node;
-        let request_leader = if is_local { RequestLeader::Local } else { RequestLeader::Remote(leader) };
-        match self.requests.route(self.now, id, request_leader) {
+        let Some(leader) = self.request_leader(partition) else { return };
+        match self.requests.route(self.now, id, leader) {
             Some(Route::Enqueue(queued)) => self.enqueue_request(partition, queued),
             Some(Route::Forward { to, forward_id, request }) => {
-                let heartbeat = self.view().current_heartbeat(to);
-                let last_heartbeat = heartbeat.map_or(0, |heartbeat| heartbeat.sequence);
+                let last_heartbeat = self.last_heartbeat_of(to);
                 let forward = PeerMessage::ForwardRequest { request_id: forward_id, last_heartbeat, request };
                 self.outbox.send_to_peer(to, forward);
             }
@@ -68,9 +86,7 @@
         request: AdminRequest,
     ) {
         let partition = request.partition();
-        let heartbeat_sent_at = self.heartbeats.sent_at(last_heartbeat);
-        let is_fresh = heartbeat_sent_at.is_some_and(|at| self.now <= at + FORWARD_MAX_AGE);
-        if !is_fresh || !self.is_leader(partition) {
+        if !self.is_fresh_forward(last_heartbeat) || !self.is_leader(partition) {
             return;
         }
         let requester = Requester::Remote(from, forward_id);
--- a/control/src/requests/admin_requests.rs
+++ b/control/src/requests/admin_requests.rs
@@ -7,7 +7,8 @@
 use ivyhatch_protocol::{MILLISECOND, Nanos};
 
 use crate::interface::RequestId;
-use crate::requests::pending_requests::{PendingRequests, RequestLeader, Route};
+use crate::requests::delivery::RequestLeader;
+use crate::requests::pending_requests::{PendingRequests, Route};
 use crate::requests::request_queue::{
     CommittedResponses, Enqueued, QueuedRequest, RequestQueue, UnconfirmedResponse,
 };
--- a/control/src/requests/mod.rs
+++ b/control/src/requests/mod.rs
@@ -1,5 +1,6 @@
 //! Operators' requests: those that wait for a response, and the queues of the partitions' leaders.
 
 pub mod admin_requests;
+pub mod delivery;
 pub mod pending_requests;
 pub mod request_queue;
--- a/control/src/requests/pending_requests.rs
+++ b/control/src/requests/pending_requests.rs
@@ -2,43 +2,21 @@
 
 use std::collections::BTreeMap;
 
+use ivyhatch_protocol::Nanos;
 use ivyhatch_protocol::ids::{NodeId, PartitionId};
 use ivyhatch_protocol::peer::AdminRequest;
-use ivyhatch_protocol::{MILLISECOND, Nanos};
 
 use crate::interface::RequestId;
+use crate::requests::delivery::{Delivery, DeliveryStep, REQUEST_TIMEOUT, RequestLeader};
 use crate::requests::request_queue::{QueuedRequest, Requester};
 
-/// A request is answered within this: operators turn to another node after a second without an answer.
-pub const REQUEST_TIMEOUT: Nanos = 920 * MILLISECOND;
-/// Wait before a forwarded request without a response is forwarded again.
-const FORWARD_INTERVAL: Nanos = 300 * MILLISECOND;
-
-/// When a request was forwarded last, and to whom.
-#[derive(Clone, Copy, Debug)]
-struct Forwarded {
-    to: NodeId,
-    at: Nanos,
-}
-
 /// A request without a response.
 #[derive(Debug)]
 struct PendingRequest {
     request: AdminRequest,
     forward_id: u64,
     expires_at: Nanos,
-    forwarded: Option<Forwarded>,
-    /// The request is in this node's own queue, as this node leads the partition.
-    is_queued: bool,
-}
-
-/// The leader of a request's partition, as this node knows it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum RequestLeader {
-    /// This node.
-    Local,
-    /// Another node.
-    Remote(NodeId),
+    delivery: Delivery,
 }
 
 /// How a request is brought to the leader.
@@ -67,7 +45,7 @@
     /// Adds a request. No other request of any process has the same `forward_id`.
     pub fn insert(&mut self, now: Nanos, id: RequestId, forward_id: u64, request: AdminRequest) {
         let expires_at = now + REQUEST_TIMEOUT;
-        let pending = PendingRequest { request, forward_id, expires_at, forwarded: None, is_queued: false };
+        let pending = PendingRequest { request, forward_id, expires_at, delivery: Delivery::default() };
         self.requests.insert(id, pending);
     }
 
@@ -85,29 +63,21 @@
     /// every new leader.
     pub fn route(&mut self, now: Nanos, id: RequestId, leader: RequestLeader) -> Option<Route> {
         let pending = self.requests.get_mut(&id)?;
-        match leader {
-            RequestLeader::Local if pending.is_queued => None,
-            RequestLeader::Local => {
-                pending.is_queued = true;
-                let (request, expires_at) = (pending.request.clone(), pending.expires_at);
-                Some(Route::Enqueue(QueuedRequest { requester: Requester::Local(id), request, expires_at }))
-            }
-            RequestLeader::Remote(to) => {
-                let is_due = |last: Forwarded| last.to != to || now >= last.at + FORWARD_INTERVAL;
-                if !pending.forwarded.is_none_or(is_due) {
-                    return None;
-                }
-                pending.forwarded = Some(Forwarded { to, at: now });
-                let (forward_id, request) = (pending.forward_id, pending.request.clone());
-                Some(Route::Forward { to, forward_id, request })
+        let step = pending.delivery.next_step(now, leader)?;
+        let request = pending.request.clone();
+        Some(match step {
+            DeliveryStep::Enqueue => {
+                let (requester, expires_at) = (Requester::Local(id), pending.expires_at);
+                Route::Enqueue(QueuedRequest { requester, request, expires_at })
             }
-        }
+            DeliveryStep::Forward(to) => Route::Forward { to, forward_id: pending.forward_id, request },
+        })
     }
 
     /// This node's own queue of a partition was dropped: its requests are routed anew.
     pub fn requeue(&mut self, partition: PartitionId) {
         for pending in self.requests.values_mut().filter(|pending| pending.request.partition() == partition) {
-            pending.is_queued = false;
+            pending.delivery.queue_dropped();
         }
     }
 
--- a/control/tests/call_queue.rs
+++ b/control/tests/call_queue.rs
@@ -1,9 +1,7 @@
 //! The queue of a partition's leader: the barrier, outcomes that wait, held watches and copies of a call.
 
 use googletest::prelude::*;
-use ivyhatch_control::calls::call_queue::{
-    CallQueue, DroppedCalls, EnqueuedCall, MAX_WAITING, QueuedCall, ReadyOutcome,
-};
+use ivyhatch_control::calls::call_queue::{CallQueue, EnqueuedCall, MAX_WAITING, QueuedCall, ReadyOutcome};
 use ivyhatch_control::requests::request_queue::Requester;
 use ivyhatch_coordination::{CoordinationState, Decision};
 use ivyhatch_protocol::coordination::{Call, CallOutcome, CellEvent, NotStarted, Reply};
@@ -79,7 +77,7 @@
 fn a_copy_of_a_call_that_was_answered_is_answered_alike_for_a_while() {
     let mut queue = deciding();
     let outcome = CallOutcome::Applied(Reply::Number { value: 9 });
-    queue.answered(0, ReadyOutcome { requester: remote(1), outcome: outcome.clone() });
+    queue.answered(0, &ReadyOutcome { requester: remote(1), outcome: outcome.clone() });
     expect_that!(queue.enqueue(queued(remote(1), number())), eq(&EnqueuedCall::Answered(outcome)));
     queue.expire(2 * SECOND);
     expect_that!(queue.enqueue(queued(remote(1), number())), eq(&EnqueuedCall::Queued));
@@ -151,7 +149,7 @@
     queue.hold_watch(queued(remote(4), watch(0)), SECOND);
     queue.await_confirmation(remote(5), CallOutcome::NotStarted(NotStarted::Overloaded), 1, SECOND);
     let dropped = queue.stepped_down();
-    expect_that!(dropped, eq(&DroppedCalls { not_started: vec![remote(2), remote(5), remote(4)] }));
+    expect_that!(dropped, eq(&vec![remote(2), remote(5), remote(4)]));
     expect_true!(queue.needs_barrier());
     expect_that!(outcomes(queue.changes_committed(1)), is_empty());
 }
--- a/control/tests/pending_calls.rs
+++ b/control/tests/pending_calls.rs
@@ -1,8 +1,8 @@
 //! What may be said of a call whose copies went to several leaders, or to one of them twice.
 
 use googletest::prelude::*;
-use ivyhatch_control::calls::pending_calls::{CALL_TIMEOUT, CallRoute, EndedCall, PendingCalls};
-use ivyhatch_control::requests::pending_requests::RequestLeader;
+use ivyhatch_control::calls::pending_calls::{CallRoute, EndedCall, PendingCalls};
+use ivyhatch_control::requests::delivery::{REQUEST_TIMEOUT, RequestLeader};
 use ivyhatch_protocol::coordination::{Call, CallOutcome, NotStarted, Refusal, Reply};
 use ivyhatch_protocol::ids::NodeId;
 use ivyhatch_protocol::{MILLISECOND, Nanos};
@@ -48,8 +48,8 @@
 #[gtest]
 fn a_call_that_came_to_no_leader_ends_as_not_started() {
     let mut calls = pending(number());
-    expect_that!(calls.expire(CALL_TIMEOUT - 1), is_empty());
-    expect_that!(calls.expire(CALL_TIMEOUT), elements_are![eq(&ended(NO_QUORUM).expect("one"))]);
+    expect_that!(calls.expire(REQUEST_TIMEOUT - 1), is_empty());
+    expect_that!(calls.expire(REQUEST_TIMEOUT), elements_are![eq(&ended(NO_QUORUM).expect("one"))]);
 }
 
 #[gtest]
@@ -59,7 +59,7 @@
     {
         let mut calls = pending(call);
         expect_true!(is_forwarded(&mut calls, 0, FIRST));
-        expect_that!(calls.expire(CALL_TIMEOUT), elements_are![eq(&ended(outcome).expect("one"))]);
+        expect_that!(calls.expire(REQUEST_TIMEOUT), elements_are![eq(&ended(outcome).expect("one"))]);
     }
 }
 
@@ -119,7 +119,7 @@
 fn a_watch_may_wait_for_its_time_and_is_answered_by_then() {
     let wait_ms = 2000;
     let mut calls = pending(Call::WatchGroup { group: "g.".to_owned(), after: 1, wait_ms });
-    let end = CALL_TIMEOUT + wait_ms * MILLISECOND;
+    let end = REQUEST_TIMEOUT + wait_ms * MILLISECOND;
     expect_that!(calls.expire(end - 1), is_empty());
     expect_that!(calls.expire(end), elements_are![eq(&ended(NO_QUORUM).expect("one"))]);
 }
@@ -136,5 +136,8 @@
     for _ in 0..2 {
         expect_that!(calls.forwarded_copy_ended(FORWARD_ID, NOT_LEADER), none());
     }
-    expect_that!(calls.expire(CALL_TIMEOUT), elements_are![eq(&ended(CallOutcome::Unknown).expect("one"))]);
+    expect_that!(
+        calls.expire(REQUEST_TIMEOUT),
+        elements_are![eq(&ended(CallOutcome::Unknown).expect("one"))]
+    );
 }
--- a/control/tests/pending_requests.rs
+++ b/control/tests/pending_requests.rs
@@ -1,7 +1,8 @@
 //! The operators' requests at a node without a response, by themselves: their way to the leader.
 
 use googletest::prelude::*;
-use ivyhatch_control::requests::pending_requests::{PendingRequests, REQUEST_TIMEOUT, RequestLeader, Route};
+use ivyhatch_control::requests::delivery::{REQUEST_TIMEOUT, RequestLeader};
+use ivyhatch_control::requests::pending_requests::{PendingRequests, Route};
 use ivyhatch_control::requests::request_queue::{QueuedRequest, Requester};
 use ivyhatch_protocol::ids::{NodeId, PartitionId};
 use ivyhatch_protocol::peer::AdminRequest;
--- a/coordination/src/history.rs
+++ b/coordination/src/history.rs
@@ -8,11 +8,10 @@
 
 use ivyhatch_protocol::Nanos;
 use ivyhatch_protocol::coordination::{CellEvent, group_of};
-use ivyhatch_protocol::registers::RegisterKey;
+use ivyhatch_protocol::registers::{RegisterChanges, RegisterKey};
 use speedy::{Readable, Writable};
 
 use crate::limits::{HISTORY_MARGIN, MAX_HISTORY_BYTES, MAX_HISTORY_EVENTS};
-use crate::state::RegisterChanges;
 
 /// The content of the register of a slot.
 #[derive(Clone, Debug, PartialEq, Eq, Readable, Writable)]
--- a/coordination/src/lib.rs
+++ b/coordination/src/lib.rs
@@ -34,4 +34,4 @@
 pub mod lock;
 pub mod state;
 
-pub use state::{CoordinationState, Decision, Publication, RegisterChanges};
+pub use state::{CoordinationState, Decision, Publication};
--- a/coordination/src/lock.rs
+++ b/coordination/src/lock.rs
@@ -7,12 +7,12 @@
 use std::collections::BTreeMap;
 
 use ivyhatch_protocol::coordination::{NotStarted, Refusal, Reply};
-use ivyhatch_protocol::registers::RegisterKey;
+use ivyhatch_protocol::registers::{RegisterChanges, RegisterKey};
 use ivyhatch_protocol::{MILLISECOND, Nanos};
 use speedy::{Readable, Writable};
 
 use crate::limits::MAX_LOCKS;
-use crate::state::{Decision, RegisterChanges};
+use crate::state::Decision;
 
 /// The content of the register of a lock that is held.
 #[derive(Clone, Debug, PartialEq, Eq, Readable, Writable)]
--- a/coordination/src/state.rs
+++ b/coordination/src/state.rs
@@ -2,14 +2,11 @@
 
 use ivyhatch_protocol::Nanos;
 use ivyhatch_protocol::coordination::{Call, CallOutcome, NotStarted, Refusal, Reply};
-use ivyhatch_protocol::registers::{RegisterKey, RegisterMap, RegisterValue};
+use ivyhatch_protocol::registers::{RegisterChanges, RegisterKey, RegisterMap};
 
 use crate::cell::Cells;
 use crate::lock::Locks;
 
-/// The registers that a change writes; those without a value are removed.
-pub type RegisterChanges = Vec<(RegisterKey, Option<RegisterValue>)>;
-
 /// Watches of a group are to be answered once a change is committed.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Publication {
--- a/coordination/tests/decisions/leader.rs
+++ b/coordination/tests/decisions/leader.rs
@@ -1,8 +1,8 @@
 //! A leader of one partition whose proposals are all committed at once, and the calls that tests make.
 
-use ivyhatch_coordination::{CoordinationState, Decision, RegisterChanges};
+use ivyhatch_coordination::{CoordinationState, Decision};
 use ivyhatch_protocol::coordination::{Call, CallOutcome};
-use ivyhatch_protocol::registers::{RegisterMap, RegisterWrite};
+use ivyhatch_protocol::registers::{RegisterChanges, RegisterMap, RegisterWrite};
 use ivyhatch_protocol::{MILLISECOND, SECOND};
 
 /// For how long the history is kept, beside its margin.
--- a/protocol/src/registers/mod.rs
+++ b/protocol/src/registers/mod.rs
@@ -9,4 +9,6 @@
 
 pub use self::key::{RegisterKey, RegisterValue};
 pub use self::map::RegisterMap;
-pub use self::update::{RegisterWrite, StateUpdate, UpdateBase, Version, register_digest, writes_digest};
+pub use self::update::{
+    RegisterChanges, RegisterWrite, StateUpdate, UpdateBase, Version, register_digest, writes_digest,
+};
--- a/protocol/src/registers/update.rs
+++ b/protocol/src/registers/update.rs
@@ -9,6 +9,9 @@
 /// The bits by which the hash of a key is rotated before that of its value is added.
 const KEY_ROTATION: u32 = 23;
 
+/// The registers that a change writes; those without a value are removed.
+pub type RegisterChanges = Vec<(RegisterKey, Option<RegisterValue>)>;
+
 /// A version of a partition's contents: the ballot under which a leader proposed them, and the number of the last change in them.
 /// Of two versions the one with the higher ballot is newer, whatever their numbers.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Readable, Writable)]
--- a/system/src/control/admin_api.rs
+++ b/system/src/control/admin_api.rs
@@ -65,15 +65,16 @@
 /// Responds to a call, and counts it. Dropping the future cancels the request.
 pub async fn respond(host: Rc<Host>, request: HttpRequest) -> HttpResponse {
     let (kind, method) = (CallKind::of_path(&request.path()), request.method.clone());
-    let response = dispatch(&host, request).await;
+    let response = if kind.is_coordination() {
+        coordination_api::respond(host.clone(), request).await
+    } else {
+        dispatch(&host, request).await
+    };
     host.call_statistics.borrow_mut().record(kind, &method, response.status());
     response
 }
 
 async fn dispatch(host: &Rc<Host>, request: HttpRequest) -> HttpResponse {
-    if coordination_api::is_coordination(&request.path()) {
-        return coordination_api::respond(host.clone(), request).await;
-    }
     match route(host, &request) {
         Ok(Call::Status) => {
             let report = host.query(ControlPlane::report);
--- a/system/src/control/call_statistics.rs
+++ b/system/src/control/call_statistics.rs
@@ -40,6 +40,11 @@
             _ => Self::Unknown,
         }
     }
+
+    /// Whether it is one of applications' calls.
+    pub fn is_coordination(self) -> bool {
+        matches!(self, Self::Locks | Self::Numbers | Self::Cells | Self::Watch)
+    }
 }
 
 /// The methods that are distinguished.
--- a/system/src/control/coordination_api.rs
+++ b/system/src/control/coordination_api.rs
@@ -117,11 +117,6 @@
     }
 }
 
-/// Whether a path is one of this interface.
-pub fn is_coordination(segments: &[&str]) -> bool {
-    matches!(segments, ["-", "locks" | "numbers" | "cells" | "watch", ..])
-}
-
 /// Responds to an application's request. Dropping the future cancels the call.
 pub async fn respond(host: Rc<Host>, request: HttpRequest) -> HttpResponse {
     if !host.query(ControlPlane::has_coordination) {
--- a/system/src/control/host.rs
+++ b/system/src/control/host.rs
@@ -4,7 +4,6 @@
 //! tasks of the role share one host, in one thread; no borrow of the state machine is held across an await.
 
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
 use std::rc::Rc;
 
 use ivyhatch_control::server_list::reader::ReadId;
@@ -18,6 +17,7 @@
 use tokio::sync::{Notify, oneshot};
 
 use super::call_statistics::CallStatistics;
+use super::pending_responses::PendingResponses;
 use super::watch_sessions::WatchSessions;
 use crate::clock::Clock;
 use crate::disk::Disk;
@@ -41,8 +41,8 @@
     control_plane: RefCell<ControlPlane>,
     clock: Clock,
     peers: Rc<OutgoingConnections>,
-    admin_requests: RefCell<BTreeMap<RequestId, oneshot::Sender<AdminResponse>>>,
-    calls: RefCell<BTreeMap<RequestId, oneshot::Sender<CallOutcome>>>,
+    admin_requests: PendingResponses<AdminResponse>,
+    calls: PendingResponses<CallOutcome>,
     /// The last id of a session, an operator's request or a call.
     last_id: Cell<u64>,
     disk: Option<Disk>,
@@ -78,8 +78,8 @@
             control_plane: RefCell::new(ControlPlane::new(node_config, stored, clock.now())),
             clock,
             peers: Rc::new(OutgoingConnections::new(clock, settings.ip, settings.peer_ports.0)),
-            admin_requests: RefCell::default(),
-            calls: RefCell::default(),
+            admin_requests: PendingResponses::default(),
+            calls: PendingResponses::default(),
             last_id: Cell::new(0),
             disk,
             list_reads,
@@ -106,8 +106,8 @@
                 Some(disk) => disk.write(token, records),
                 None => log::error!("event=data_dir_missing remedy=give_the_role_machines_with_a_disk"),
             },
-            Output::Respond(id, response) => self.respond(id, response),
-            Output::EndCall(id, outcome) => self.end_call(id, outcome),
+            Output::Respond(id, response) => self.admin_requests.respond(id, response),
+            Output::EndCall(id, outcome) => self.calls.respond(id, outcome),
             Output::Watch(id, message) => self.watch_sessions.send(id, &message),
             Output::CloseSession(id) => self.watch_sessions.close(id),
             // Its receiver is dropped only with the process.
@@ -130,50 +130,30 @@
 
     /// Registers an operator's request; its response comes on the receiver.
     pub fn register_admin_request(&self) -> (RequestId, oneshot::Receiver<AdminResponse>) {
-        let (sender, response) = oneshot::channel();
         let id = self.next_id();
-        self.admin_requests.borrow_mut().insert(id, sender);
-        (id, response)
+        (id, self.admin_requests.register(id))
     }
 
     /// Forgets an operator's request, and cancels it where it was not answered.
     pub fn cancel_admin_request(self: &Rc<Self>, id: RequestId) {
-        let was_pending = self.admin_requests.borrow_mut().remove(&id).is_some();
-        if was_pending {
+        if self.admin_requests.forget(id) {
             self.handle_input(Input::AdminCancelled(id));
         }
     }
 
-    fn respond(&self, id: RequestId, response: AdminResponse) {
-        if let Some(sender) = self.admin_requests.borrow_mut().remove(&id) {
-            // An operator who has disconnected meanwhile needs no response.
-            let _ = sender.send(response);
-        }
-    }
-
     /// Registers an application's call; its outcome comes on the receiver.
     pub fn register_call(&self) -> (RequestId, oneshot::Receiver<CallOutcome>) {
-        let (sender, outcome) = oneshot::channel();
         let id = self.next_id();
-        self.calls.borrow_mut().insert(id, sender);
-        (id, outcome)
+        (id, self.calls.register(id))
     }
 
     /// Forgets a call, and cancels it where it was not answered.
     pub fn cancel_call(self: &Rc<Self>, id: RequestId) {
-        let was_pending = self.calls.borrow_mut().remove(&id).is_some();
-        if was_pending {
+        if self.calls.forget(id) {
             self.handle_input(Input::CallCancelled(id));
         }
     }
 
-    fn end_call(&self, id: RequestId, outcome: CallOutcome) {
-        if let Some(sender) = self.calls.borrow_mut().remove(&id) {
-            // A caller that has disconnected meanwhile needs no response.
-            let _ = sender.send(outcome);
-        }
-    }
-
     /// Logs the numbers of answered calls, where there were any since the last time.
     pub fn log_calls_if_due(&self) {
         let now = self.clock.now();
--- a/system/src/control/mod.rs
+++ b/system/src/control/mod.rs
@@ -11,6 +11,7 @@
 mod load_topology;
 mod node_config;
 mod peers;
+mod pending_responses;
 mod status;
 mod watch_server;
 mod watch_sessions;
--- a/system/src/http_server.rs
+++ b/system/src/http_server.rs
@@ -88,14 +88,16 @@
 
 /// A 503 that asks for another attempt in a moment.
 pub fn unavailable(text: &str) -> HttpResponse {
-    let mut response = error(StatusCode::SERVICE_UNAVAILABLE, text);
-    response.headers_mut().insert(RETRY_AFTER, HeaderValue::from_static(RETRY_AFTER_SECONDS));
-    response
+    retry_later(StatusCode::SERVICE_UNAVAILABLE, text)
 }
 
 /// A 429 that asks for another attempt in a moment.
 pub fn too_many_requests(text: &str) -> HttpResponse {
-    let mut response = error(StatusCode::TOO_MANY_REQUESTS, text);
+    retry_later(StatusCode::TOO_MANY_REQUESTS, text)
+}
+
+fn retry_later(status: StatusCode, text: &str) -> HttpResponse {
+    let mut response = error(status, text);
     response.headers_mut().insert(RETRY_AFTER, HeaderValue::from_static(RETRY_AFTER_SECONDS));
     response
 }
