--- a/cli/src/coordination/mod.rs
+++ b/cli/src/coordination/mod.rs
@@ -14,7 +14,7 @@
 use std::time::Duration;
 
 use bpaf::{OptionParser, Parser, construct, long, positional};
-use hyper::{Method, StatusCode};
+use hyper::Method;
 use serde_json::{Value, json};
 
 use crate::exit::{REJECTED, UNKNOWN, UNUSABLE, WRONG_USAGE};
@@ -240,13 +240,7 @@
     while count.is_none_or(|count| shown < count) {
         let path = format!("watch/{group}?after={after}&wait_ms={WATCH_WAIT_MS}");
         let limit = CALL_LIMIT + Duration::from_millis(WATCH_WAIT_MS);
-        let answer = match client.call_until_clear(Method::GET, &path, None, limit).await {
-            Err(CallError::Refused { status: StatusCode::GONE, text }) => {
-                eprintln!("ivyhatch: {text}");
-                return Ok(ExitCode::from(REJECTED));
-            }
-            answer => answer?,
-        };
+        let answer = client.call_until_clear(Method::GET, &path, None, limit).await?;
         for event in answer["events"].as_array().into_iter().flatten() {
             if json {
                 println!("{event}");
