--- a/review/stand_ins/deployment.py
+++ b/review/stand_ins/deployment.py
@@ -224,14 +224,21 @@
     threading.Thread(target=accept, daemon=True).start()
 
 
-def run_case(folder, play):
+def end_run(number, _frame):
+    """Ends the run at a signal, so that its processes are ended too."""
+    raise CouldNotRun(f"ended by {signal.Signals(number).name}")
+
+
+def run_case(record_path, play):
     """Plays a case, and returns the exit code: `play(record)` returns whether the rule held."""
-    record = Record(pathlib.Path(folder) / "record.txt")
+    record = Record(record_path)
     record(f"disruption {'on' if has_trouble() else 'off'}")
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+        signal.signal(number, end_run)
     try:
         has_held = play(record)
-    except CouldNotRun as error:
-        record(f"could not run: {error}")
+    except Exception as error:  # An error of the script must not count as a broken rule.
+        record(f"could not run: {type(error).__name__}: {error}")
         return COULD_NOT_RUN
     record(f"result: the rule {'held' if has_held else 'was broken'}")
     return HELD if has_held else BROKEN
